--- /dev/null
+++ b/pollen/pollenbackend/client.go
@@ -0,0 +1,145 @@
+package pollenbackend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"pollenline.example/pollen/pollenmessage"
+	"pollenline.example/pollen/pollenroute"
+)
+
+// MaximumAnswerBytes bounds one answer of a backend server.
+const MaximumAnswerBytes = 8 << 20
+
+// Client sends requests to one backend server.
+type Client struct {
+	url       string
+	transport *http.Transport
+}
+
+// NewClient returns a client whose connections stay well below the server's limit.
+func NewClient(server *pollenroute.Server) *Client {
+	connections := min(server.Slots+spareConnections, server.Connections)
+	return &Client{
+		url: fmt.Sprintf("http://%s%s", server.Address, PathAnswer),
+		transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleConnectionTimeout,
+		},
+	}
+}
+
+// Send sends one request once and returns its verified answer.
+//
+// Errors are *NotSentError, *LostError or *GarbledError. A refusal by the server is an answer with NotRun set.
+func (c *Client) Send(ctx context.Context, request *Request) (*Answer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	// The body is hidden from net/http as a bare reader, so that it cannot send the request a second time.
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Content-Type", "application/json")
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		if !connected.Load() {
+			return nil, &NotSentError{Err: err}
+		}
+		return nil, &LostError{Err: err}
+	}
+	defer response.Body.Close()
+	return readAnswer(request, response)
+}
+
+// Retire closes the idle connections, so that the next request takes a fresh one.
+func (c *Client) Retire() {
+	c.transport.CloseIdleConnections()
+}
+
+const (
+	// spareConnections replace cancelled ones while those are still closing.
+	spareConnections      = 4
+	dialTimeout           = 500 * time.Millisecond
+	idleConnectionTimeout = time.Minute
+)
+
+func readAnswer(request *Request, response *http.Response) (*Answer, error) {
+	data, err := io.ReadAll(io.LimitReader(response.Body, MaximumAnswerBytes+1))
+	if err != nil {
+		return nil, &LostError{Err: err}
+	}
+	if len(data) > MaximumAnswerBytes {
+		return nil, &GarbledError{Problem: "more than the maximum size"}
+	}
+	answer, err := ParseAnswer(data)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK && !answer.NotRun {
+		return nil, &GarbledError{Problem: fmt.Sprintf("HTTP status %d", response.StatusCode)}
+	}
+	return answer, answer.verify(request)
+}
+
+// ParseAnswer reads an answer without comparing it with its request.
+func ParseAnswer(data []byte) (*Answer, error) {
+	answer := &Answer{}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return nil, &GarbledError{Problem: "not JSON", Err: err}
+	}
+	if answer.ID == "" || answer.BootID == "" {
+		return nil, &GarbledError{Problem: "fields ID and BootID are required"}
+	}
+	return answer, nil
+}
+
+// ErrOther is the cause of an answer that belongs to another request.
+var ErrOther = errors.New("answer to another request")
+
+func (a *Answer) verify(request *Request) error {
+	if a.ID != request.ID {
+		return &GarbledError{Problem: "crossed", Err: ErrOther}
+	}
+	if a.NotRun {
+		return nil
+	}
+	if a.Snapshot != request.Snapshot {
+		return &GarbledError{Problem: fmt.Sprintf("snapshot %q instead of %q", a.Snapshot, request.Snapshot)}
+	}
+	if pollenmessage.Checksum(a.Shards) != a.Checksum {
+		return &GarbledError{Problem: "checksum differs"}
+	}
+	asked := make(map[string]bool, len(request.Shards))
+	for _, shard := range request.Shards {
+		asked[shard] = true
+	}
+	for _, s := range a.Shards {
+		if !asked[s.Shard] {
+			return &GarbledError{Problem: fmt.Sprintf("shard %q was not asked for or stands twice", s.Shard)}
+		}
+		delete(asked, s.Shard)
+	}
+	if len(asked) > 0 {
+		return &GarbledError{Problem: fmt.Sprintf("%d shards are not mentioned", len(asked))}
+	}
+	return nil
+}
--- /dev/null
+++ b/pollen/pollencheck/doc.go
@@ -0,0 +1,4 @@
+// Package pollencheck asserts invariants in running programs.
+//
+// Assertions are always compiled in. A violation is counted, logged and, under test, fatal.
+package pollencheck
--- /dev/null
+++ b/pollen/pollencommand/doc.go
@@ -0,0 +1,2 @@
+// Package pollencommand holds what the command lines of all programs share.
+package pollencommand
--- /dev/null
+++ b/pollen/pollencontrol/core.go
@@ -0,0 +1,310 @@
+package pollencontrol
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"pollenline.example/pollen/pollenchart"
+	"pollenline.example/pollen/pollencheck"
+	"pollenline.example/pollen/pollenconfig"
+	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/pollenpeer"
+	"pollenline.example/pollen/pollenreplica"
+	"pollenline.example/pollen/pollenroute"
+	"pollenline.example/pollen/pollenstore"
+)
+
+// Store is the platform's key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (pollenstore.Entry, error)
+	List(ctx context.Context, prefix string) (pollenstore.Listing, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (pollenstore.Changes, error)
+	CompareAndSwap(ctx context.Context, swap pollenstore.Swap) (uint64, error)
+	Grant(ctx context.Context, duration time.Duration) (pollenstore.Lease, error)
+	Renew(ctx context.Context, id uint64) error
+	Revoke(ctx context.Context, id uint64) error
+}
+
+// Peers calls other instances.
+type Peers interface {
+	Ping(ctx context.Context, i pollenroute.Instance, request pollenpeer.PingRequest) (pollenpeer.PingReply, error)
+	Watch(ctx context.Context, i pollenroute.Instance, request pollenpeer.WatchRequest) (pollenpeer.WatchReply, error)
+	InForce(ctx context.Context, i pollenroute.Instance, request pollenpeer.InForceRequest) (pollenpeer.InForceReply, error)
+}
+
+// Traffic is the part of the owner role that control waits for.
+type Traffic interface {
+	// Sending returns the number of sub-queries of a group that are being sent.
+	Sending(group pollenroute.Group) int
+	// Pump looks at every queue again.
+	Pump()
+	// Forget drops the state of servers whose group is not owned.
+	Forget(owned func(pollenroute.Group) bool)
+}
+
+// Config configures a Core.
+type Config struct {
+	Self  Record
+	Store Store
+	Peers Peers
+	// Traffic is asked about the owner role.
+	Traffic   Traffic
+	Replica   *pollenreplica.Replica
+	Ownership *Ownership
+	// Publish is given every new table.
+	Publish func(*pollenroute.Table)
+	// Post sends a message to the actor; it may be called from any goroutine.
+	Post func(message any)
+	Log  *pollenevent.Log
+	// Seeds are instances to ask before any is known, as when the store is down.
+	Seeds []pollenroute.Instance
+}
+
+// Core is the control state; only the actor calls Receive.
+type Core struct {
+	config   Config
+	instance *pollenchart.Machine
+	lease    leaseState
+	groups   map[pollenroute.Group]*groupState
+	owners   map[pollenroute.Group]ownerState
+	records  map[string]Record
+	peers    map[string]*peerState
+	follow   followState
+
+	configuration *pollenconfig.Configuration
+	table         *pollenroute.Table
+	// replicaRead is set once a whole listing was taken in.
+	replicaRead bool
+	dirty       bool
+	startedAt   time.Time
+	storeHeard  time.Time
+	leaving     atomic.Bool
+	leaseID     atomic.Uint64
+}
+
+// NewCore returns the control state of an instance that has not joined yet.
+func NewCore(config Config) *Core {
+	c := &Core{
+		config:        config,
+		instance:      pollenchart.NewMachine(pollenchart.MustLoad("instance")),
+		lease:         newLeaseState(),
+		groups:        make(map[pollenroute.Group]*groupState),
+		owners:        make(map[pollenroute.Group]ownerState),
+		records:       make(map[string]Record),
+		peers:         make(map[string]*peerState),
+		configuration: pollenconfig.Empty(),
+		startedAt:     time.Now(),
+		storeHeard:    time.Now(),
+	}
+	table, err := pollenroute.Build(c.configuration)
+	if err != nil {
+		panic(err)
+	}
+	c.table = table
+	return c
+}
+
+// Tick is the message that drives everything that depends on time; it is due every TickTime.
+type Tick struct{}
+
+// Stop is the message that asks for a graceful shutdown.
+type Stop struct{}
+
+// Unreferenced is the message that no caller may have this instance's address any longer.
+type Unreferenced struct{}
+
+// Drained is the message that the last request has ended and the last group is given up.
+type Drained struct{}
+
+// TickTime is the pause between ticks.
+const TickTime = 50 * time.Millisecond
+
+// Receive handles one message.
+func (c *Core) Receive(message any) {
+	switch m := message.(type) {
+	case Tick:
+		c.tick()
+	case followed:
+		c.followed(m)
+	case leaseGranted:
+		c.leaseGranted(m)
+	case leaseRenewed:
+		c.leaseRenewed(m)
+	case registered:
+		c.registered(m)
+	case claimed:
+		c.claimed(m)
+	case released:
+		c.released(m)
+	case pinged:
+		c.pinged(m)
+	case Stop:
+		c.stop()
+	case Unreferenced:
+		c.fire("Unreferenced", "no caller has the address any longer")
+	case Drained:
+		c.fire("Drained", "the last request has ended")
+	}
+	c.publish()
+}
+
+// State returns the state of the instance's chart; it may be called from any goroutine.
+func (c *Core) State() string { return c.instance.State() }
+
+// TakesCallers reports whether requests of callers are taken; it may be called from any goroutine.
+func (c *Core) TakesCallers() bool { return c.instance.Has("TakesCallers") }
+
+// Leaving reports whether a graceful shutdown has begun; it may be called from any goroutine.
+func (c *Core) Leaving() bool { return c.leaving.Load() }
+
+// RevokeLease gives the lease back, so that the instance's keys go at once; it is called when the actor is done.
+func (c *Core) RevokeLease(ctx context.Context) {
+	if err := c.config.Store.Revoke(ctx, c.leaseID.Load()); err != nil {
+		// The lease then ends by itself.
+		c.config.Log.Add(pollenevent.KindLease, c.config.Self.Name, "not revoked: "+err.Error())
+	}
+}
+
+// callTimeout bounds calls to the store and to other instances that have no wait of their own.
+const callTimeout = 400 * time.Millisecond
+
+func (c *Core) tick() {
+	c.tickLease()
+	c.tickFollow()
+	c.tickPeers()
+	c.tickGroups()
+	c.tickIsolation()
+	c.config.Traffic.Pump()
+}
+
+// async runs a call beside the actor and posts its result.
+func (c *Core) async(timeout time.Duration, call func(ctx context.Context) any) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		c.config.Post(call(ctx))
+	}()
+}
+
+func (c *Core) stop() {
+	c.fire("StopAsked", "a graceful shutdown was asked for")
+	c.config.Self.Leaving = true
+	c.leaving.Store(true)
+	c.lease.registered = false
+	c.register()
+	c.dirty = true
+}
+
+func (c *Core) fire(event, cause string) {
+	from, to, changed := c.instance.Fire(event)
+	if !changed {
+		return
+	}
+	c.config.Log.Add(pollenevent.KindInstanceState, c.config.Self.Name, fmt.Sprintf("%s to %s: %s", from, to, cause))
+	c.dirty = true
+}
+
+// takeEvents brings the derived state up to date with changed keys.
+func (c *Core) takeEvents(events []pollenstore.Event) {
+	head := false
+	for _, event := range events {
+		switch key := event.Entry.Key; {
+		case key == KeyHead:
+			head = true
+		case strings.HasPrefix(key, PrefixInstance):
+			c.takeRecord(strings.TrimPrefix(key, PrefixInstance), event)
+		case strings.HasPrefix(key, PrefixGroup):
+			c.takeClaim(strings.TrimPrefix(key, PrefixGroup), event)
+		}
+	}
+	if head {
+		c.takeHead()
+	}
+	if len(events) > 0 {
+		c.dirty = true
+	}
+}
+
+// takeListing replaces the derived state after the replica was reset.
+func (c *Core) takeListing() {
+	listing := c.config.Replica.List(Prefix)
+	present := make(map[string]bool, len(listing.Entries))
+	events := make([]pollenstore.Event, 0, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		present[entry.Key] = true
+		events = append(events, pollenstore.Event{Entry: entry})
+	}
+	for name := range c.records {
+		if !present[PrefixInstance+name] {
+			c.takeRecord(name, pollenstore.Event{Deleted: true})
+		}
+	}
+	for group := range c.owners {
+		if !present[PrefixGroup+group.String()] {
+			c.takeClaim(group.String(), pollenstore.Event{Deleted: true})
+		}
+	}
+	c.replicaRead = true
+	c.takeEvents(events)
+	c.dirty = true
+}
+
+// takeHead puts the configuration that the replica's head names into force.
+func (c *Core) takeHead() {
+	next, err := ReadConfiguration(c.config.Replica, c.configuration)
+	if err != nil {
+		c.config.Log.Add(pollenevent.KindConfiguration, c.config.Self.Name, "refused: "+err.Error())
+		return
+	}
+	if next.Revision <= c.configuration.Revision {
+		return
+	}
+	table, err := pollenroute.Build(next)
+	if err != nil {
+		c.config.Log.Add(pollenevent.KindConfiguration, c.config.Self.Name, "refused: "+err.Error())
+		return
+	}
+	pollencheck.Assert(table.Revision > c.table.Revision, pollencheck.ConfigurationInForce,
+		"revision %d after %d", table.Revision, c.table.Revision)
+	c.configuration = next
+	c.table = table
+	c.config.Log.Add(pollenevent.KindConfiguration, fmt.Sprintf("revision %d", next.Revision), "change "+next.ChangeID)
+}
+
+// publish hands traffic a new table if anything has changed.
+func (c *Core) publish() {
+	if !c.dirty {
+		return
+	}
+	c.dirty = false
+	c.publishOwnership()
+	c.config.Publish(c.table.With(c.self(), c.instances(), c.ownersByGroup()))
+	c.config.Traffic.Pump()
+}
+
+func (c *Core) self() pollenroute.Instance {
+	self := c.config.Self.instance()
+	self.Listed = c.instance.Has("Listed")
+	self.Claims = c.instance.Has("Claims")
+	return self
+}
+
+// instances returns the live instances as far as they are known, this one included.
+func (c *Core) instances() []pollenroute.Instance {
+	instances := []pollenroute.Instance{c.self()}
+	for name, record := range c.records {
+		if name == c.config.Self.Name {
+			continue
+		}
+		i := record.instance()
+		if p, ok := c.peers[name]; ok && (p.leaving || p.silent()) {
+			i.Listed = false
+			i.Claims = i.Claims && !p.leaving
+		}
+		instances = append(instances, i)
+	}
+	return instances
+}
--- /dev/null
+++ b/pollen/pollencontrol/follow.go
@@ -0,0 +1,172 @@
+package pollencontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/pollenpeer"
+	"pollenline.example/pollen/pollenroute"
+	"pollenline.example/pollen/pollenstore"
+)
+
+const (
+	// watchersPerZone instances of each zone watch the store; the others follow one of them.
+	watchersPerZone = 2
+	watchWait       = time.Second
+	// followRetryTime is the pause after a failed watch.
+	followRetryTime = 100 * time.Millisecond
+)
+
+// followState is where this instance takes its copy of the store's keys from.
+type followState struct {
+	busy    bool
+	nextTry time.Time
+	// failed is the source that failed last, passed over once.
+	failed string
+	source string
+}
+
+// followed is the result of following a source once.
+type followed struct {
+	source  string
+	changes pollenstore.Changes
+	listing pollenstore.Listing
+	whole   bool
+	err     error
+}
+
+// storeSource is the name of the store among the sources.
+const storeSource = "store"
+
+func (c *Core) tickFollow() {
+	f := &c.follow
+	now := time.Now()
+	if f.busy || now.Before(f.nextTry) {
+		return
+	}
+	f.busy = true
+	after, read := c.config.Replica.Revision(), c.replicaRead
+	source, i := c.chooseSource()
+	if source != f.source {
+		c.config.Log.Add(pollenevent.KindStore, c.config.Self.Name, "follows "+source)
+		f.source = source
+	}
+	c.async(watchWait+callTimeout, func(ctx context.Context) any {
+		if source == storeSource {
+			return c.followStore(ctx, after, read)
+		}
+		return c.followPeer(ctx, source, i, after)
+	})
+}
+
+func (c *Core) followStore(ctx context.Context, after uint64, read bool) followed {
+	m := followed{source: storeSource}
+	if !read {
+		m.whole = true
+		m.listing, m.err = c.config.Store.List(ctx, Prefix)
+		return m
+	}
+	m.changes, m.err = c.config.Store.Watch(ctx, Prefix, after, watchWait)
+	var compacted *pollenstore.CompactedError
+	if errors.As(m.err, &compacted) {
+		m.whole = true
+		m.listing, m.err = c.config.Store.List(ctx, Prefix)
+	}
+	return m
+}
+
+func (c *Core) followPeer(ctx context.Context, source string, i pollenroute.Instance, after uint64) followed {
+	reply, err := c.config.Peers.Watch(ctx, i, pollenpeer.WatchRequest{After: after, Wait: watchWait})
+	return followed{source: source, changes: reply.Changes, listing: reply.Listing, whole: reply.Whole, err: err}
+}
+
+func (c *Core) followed(m followed) {
+	f := &c.follow
+	f.busy = false
+	if m.err != nil {
+		f.failed = m.source
+		f.nextTry = time.Now().Add(followRetryTime)
+		return
+	}
+	f.failed = ""
+	if m.source == storeSource {
+		c.storeHeard = time.Now()
+	}
+	if m.whole {
+		if c.config.Replica.Reset(m.listing) {
+			c.takeListing()
+		}
+		c.replicaRead = c.replicaRead || m.source == storeSource
+		return
+	}
+	c.takeEvents(c.config.Replica.Apply(m.changes))
+	c.tickFollow()
+}
+
+// chooseSource returns where to take the next changes from: a peer that is ahead while the store is silent, the
+// store for the watchers of a zone, and a watcher for the others.
+func (c *Core) chooseSource() (string, pollenroute.Instance) {
+	watchers := c.watchers()
+	self := slices.Contains(watchers, c.config.Self.Name)
+	if c.follow.failed != storeSource && (self || len(watchers) == 0 || !c.replicaRead) {
+		return storeSource, pollenroute.Instance{}
+	}
+	var best *peerState
+	for name, p := range c.peers {
+		if p.silent() || name == c.follow.failed {
+			continue
+		}
+		if best == nil || c.sourceRank(name, p, watchers) > c.sourceRank(best.instance.Name, best, watchers) {
+			best = p
+		}
+	}
+	if best != nil {
+		return best.instance.Name, best.instance
+	}
+	if seed, ok := c.seed(); ok && c.follow.failed == storeSource {
+		return seed.Name, seed
+	}
+	return storeSource, pollenroute.Instance{}
+}
+
+// sourceRank orders peers as sources: those ahead of this instance first, then the watchers of its zone.
+func (c *Core) sourceRank(name string, p *peerState, watchers []string) uint64 {
+	rank := xxhash.Sum64String(name+"|"+c.config.Self.Name) >> 8
+	if slices.Contains(watchers, name) {
+		rank |= 1 << 60
+	}
+	if p.storeRevision > c.config.Replica.Revision() {
+		rank |= 1 << 61
+	}
+	return rank
+}
+
+// watchers returns the instances of this zone that watch the store.
+func (c *Core) watchers() []string {
+	var names []string
+	for name, record := range c.records {
+		p, known := c.peers[name]
+		live := name == c.config.Self.Name || (known && !p.silent())
+		if record.Zone == c.config.Self.Zone && live && !record.Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return strings.Compare(fmt.Sprint(xxhash.Sum64String(a)), fmt.Sprint(xxhash.Sum64String(b)))
+	})
+	return names[:min(watchersPerZone, len(names))]
+}
+
+func (c *Core) seed() (pollenroute.Instance, bool) {
+	if len(c.config.Seeds) == 0 {
+		return pollenroute.Instance{}, false
+	}
+	return c.config.Seeds[time.Now().UnixNano()%int64(len(c.config.Seeds))], true
+}
--- /dev/null
+++ b/pollen/pollencontrol/keys.go
@@ -0,0 +1,63 @@
+package pollencontrol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"pollenline.example/pollen/pollenroute"
+)
+
+// The keys that pollenline keeps in the platform's service.
+const (
+	Prefix         = "pollenline/"
+	KeyHead        = Prefix + "head"
+	PrefixDocument = Prefix + "document/"
+	PrefixInstance = Prefix + "instance/"
+	PrefixGroup    = Prefix + "group/"
+)
+
+// Record is what an instance writes about itself under its lease.
+type Record struct {
+	Name        string
+	Incarnation string
+	Zone        string
+	Peer        netip.AddrPort
+	Caller      netip.AddrPort
+	Operator    netip.AddrPort
+	// Leaving is set once the instance is to be given no more callers and groups.
+	Leaving bool
+}
+
+// Claim is the value of a group's key.
+type Claim struct {
+	Instance    string
+	Incarnation string
+}
+
+// ValueError reports a value in the store that cannot be read.
+type ValueError struct {
+	Key string
+	Err error
+}
+
+func (e *ValueError) Error() string { return fmt.Sprintf("value of %s: %v", e.Key, e.Err) }
+
+func (e *ValueError) Unwrap() error { return e.Err }
+
+func (r *Record) instance() pollenroute.Instance {
+	return pollenroute.Instance{
+		Name: r.Name, Incarnation: r.Incarnation, Zone: r.Zone,
+		Peer: r.Peer, Caller: r.Caller, Operator: r.Operator,
+		Listed: !r.Leaving, Claims: !r.Leaving,
+	}
+}
+
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// Records and claims hold nothing that JSON cannot carry.
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/pollen/pollencontrol/ownership.go
@@ -0,0 +1,65 @@
+package pollencontrol
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"pollenline.example/pollen/pollenlimit"
+	"pollenline.example/pollen/pollenroute"
+)
+
+// Ownership is what traffic may send to each group, read without locks.
+type Ownership struct {
+	current atomic.Pointer[ownershipView]
+}
+
+// NewOwnership returns an ownership of nothing.
+func NewOwnership() *Ownership {
+	o := &Ownership{}
+	o.current.Store(&ownershipView{groups: make(map[pollenroute.Group]groupMode)})
+	return o
+}
+
+// Mode returns what may be sent to the servers of a group now.
+//
+// It compares the lease's deadline with the monotonic clock, so that a process that was paused finds it lapsed.
+func (o *Ownership) Mode(group pollenroute.Group) pollenlimit.Mode {
+	view := o.current.Load()
+	mode, ok := view.groups[group]
+	switch {
+	case !ok:
+		return pollenlimit.ModeStopped
+	case mode == groupWaits:
+		return pollenlimit.ModeHeld
+	}
+	now := time.Now()
+	switch {
+	case now.Before(view.leaseDeadline):
+		return pollenlimit.ModeFull
+	case now.Before(view.sharedUntil):
+		return pollenlimit.ModeShared
+	}
+	return pollenlimit.ModeHeld
+}
+
+// groupMode is a group's state as far as traffic needs to know it.
+type groupMode int
+
+const (
+	groupWaits groupMode = iota + 1
+	groupSends
+)
+
+// ownershipView is an immutable view of the lease and the groups.
+type ownershipView struct {
+	groups map[pollenroute.Group]groupMode
+	// leaseDeadline is when the lease lapses by this instance's own clock.
+	leaseDeadline time.Time
+	// sharedUntil bounds sending without a lease in an outage of the store.
+	sharedUntil time.Time
+}
+
+func (o *Ownership) publish(groups map[pollenroute.Group]groupMode, leaseDeadline, sharedUntil time.Time) {
+	o.current.Store(&ownershipView{groups: maps.Clone(groups), leaseDeadline: leaseDeadline, sharedUntil: sharedUntil})
+}
--- /dev/null
+++ b/pollen/pollencontrol/peers.go
@@ -0,0 +1,155 @@
+package pollencontrol
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/pollenpeer"
+	"pollenline.example/pollen/pollenroute"
+	"pollenline.example/pollen/pollenstore"
+)
+
+const (
+	pingTime = 400 * time.Millisecond
+	// PeerSilentTime without an answer to a ping makes a peer silent.
+	PeerSilentTime = 1500 * time.Millisecond
+	// isolationTime without word from the store and from half of the peers makes an instance isolated; with the
+	// time that a change takes to spread it stays within the six seconds in which a change must be in force.
+	isolationTime = 4 * time.Second
+	// forgetTime after its record is gone, a peer is no longer pinged.
+	forgetTime = 30 * time.Second
+)
+
+// peerState is what this instance knows of another.
+type peerState struct {
+	instance pollenroute.Instance
+	heard    time.Time
+	// gone is when its record went away, zero while it stands.
+	gone          time.Time
+	busy          bool
+	nextPing      time.Time
+	leaving       bool
+	storeRevision uint64
+	revision      uint64
+}
+
+func (p *peerState) silent() bool { return time.Since(p.heard) > PeerSilentTime }
+
+// pinged is the result of a ping.
+type pinged struct {
+	name  string
+	reply pollenpeer.PingReply
+	err   error
+}
+
+// takeRecord takes in a change of an instance's record.
+func (c *Core) takeRecord(name string, event pollenstore.Event) {
+	if event.Deleted {
+		delete(c.records, name)
+		if p, ok := c.peers[name]; ok && p.gone.IsZero() {
+			p.gone = time.Now()
+			c.config.Log.Add(pollenevent.KindInstanceLeft, name, "its record is gone")
+		}
+		return
+	}
+	var record Record
+	if err := json.Unmarshal(event.Entry.Value, &record); err != nil {
+		c.config.Log.Add(pollenevent.KindInstanceJoined, name, (&ValueError{Key: event.Entry.Key, Err: err}).Error())
+		return
+	}
+	c.records[name] = record
+	if name == c.config.Self.Name {
+		c.takeOwnRecord(record, event)
+		return
+	}
+	p, known := c.peers[name]
+	if !known || p.instance.Incarnation != record.Incarnation {
+		p = &peerState{heard: time.Now()}
+		c.peers[name] = p
+		c.config.Log.Add(pollenevent.KindInstanceJoined, name, "incarnation "+record.Incarnation)
+	}
+	p.instance = record.instance()
+	p.gone = time.Time{}
+	p.leaving = record.Leaving
+}
+
+// takeOwnRecord notices that the record stands, or that another process has taken this instance's name.
+func (c *Core) takeOwnRecord(record Record, event pollenstore.Event) {
+	if record.Incarnation != c.config.Self.Incarnation {
+		c.lease.registered = false
+		return
+	}
+	if event.Entry.Lease == c.lease.id {
+		c.lease.registered = record.Leaving == c.config.Self.Leaving
+		c.fire("Registered", "record stored")
+	}
+}
+
+func (c *Core) tickPeers() {
+	now := time.Now()
+	request := pollenpeer.PingRequest{From: c.config.Self.Name}
+	for name, p := range c.peers {
+		if !p.gone.IsZero() && now.Sub(p.gone) > forgetTime {
+			delete(c.peers, name)
+			continue
+		}
+		if p.busy || now.Before(p.nextPing) {
+			continue
+		}
+		p.busy = true
+		p.nextPing = now.Add(pingTime)
+		i := p.instance
+		c.async(callTimeout, func(ctx context.Context) any {
+			reply, err := c.config.Peers.Ping(ctx, i, request)
+			return pinged{name: name, reply: reply, err: err}
+		})
+	}
+}
+
+func (c *Core) pinged(m pinged) {
+	p, ok := c.peers[m.name]
+	if !ok {
+		return
+	}
+	p.busy = false
+	wasSilent := p.silent()
+	if m.err == nil && m.reply.Incarnation == p.instance.Incarnation {
+		p.heard = time.Now()
+		p.storeRevision = m.reply.StoreRevision
+		p.revision = m.reply.Revision
+		p.leaving = p.leaving || m.reply.Leaving
+	}
+	if wasSilent != p.silent() {
+		c.config.Log.Add(pollenevent.KindPeer, m.name, "heard again")
+	}
+	c.dirty = true
+}
+
+// hearsPeers reports whether at least half of the other instances were heard lately.
+func (c *Core) hearsPeers() bool {
+	heard, total := 0, 0
+	for name, p := range c.peers {
+		if _, stands := c.records[name]; !stands && p.silent() {
+			continue
+		}
+		total++
+		if !p.silent() {
+			heard++
+		}
+	}
+	return total == 0 || 2*heard >= total
+}
+
+func (c *Core) tickIsolation() {
+	storeSilent := time.Since(c.storeHeard) > isolationTime
+	if storeSilent && (!c.hearsPeers() || len(c.peers) == 0) {
+		c.fire("Isolated", "neither the store nor half of the peers were heard")
+		return
+	}
+	c.fire("Reconnected", "the store or the peers are heard")
+	if c.instance.State() == "Joining" && c.replicaRead && storeSilent && len(c.peers) > 0 {
+		c.fire("Registered", "the store is down; the state came from a peer")
+	}
+}
--- /dev/null
+++ b/pollen/pollenedge/doc.go
@@ -0,0 +1,2 @@
+// Package pollenedge serves callers and operators over Connect.
+package pollenedge
--- /dev/null
+++ b/pollen/pollenedge/operator.go
@@ -0,0 +1,153 @@
+package pollenedge
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"pollenline.example/pollen/pollenconfig"
+	"pollenline.example/pollen/pollencontrol"
+	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/pollenpeer"
+	"pollenline.example/pollen/pollenroute"
+	"pollenline.example/pollen/pollenschema"
+)
+
+// pingTimeout bounds the question for another instance's status.
+const pingTimeout = 500 * time.Millisecond
+
+// OperatorConfig configures an Operator.
+type OperatorConfig struct {
+	// Table returns the table in force.
+	Table   func() *pollenroute.Table
+	Applier *pollencontrol.Applier
+	Peers   pollencontrol.Peers
+	// Self tells this instance's own status.
+	Self func() pollenpeer.PingReply
+	// Configuration returns the configuration in force.
+	Configuration func() (*pollenconfig.Configuration, error)
+	Events        *pollenevent.Log
+	Traces        *pollenevent.Traces
+}
+
+// Operator serves the schema's Operate service.
+type Operator struct {
+	config OperatorConfig
+}
+
+// NewOperator returns the handler of operators' requests.
+func NewOperator(config OperatorConfig) *Operator {
+	return &Operator{config: config}
+}
+
+// ErrNoChangeID reports a change that could not be told from others.
+var ErrNoChangeID = errors.New("field ChangeId: missing value")
+
+// Apply makes one change of the configuration.
+func (o *Operator) Apply(ctx context.Context, request *pollenschema.ApplyRequest) (*pollenschema.ApplyResponse, error) {
+	if request.ChangeId == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, ErrNoChangeID)
+	}
+	applied, err := o.config.Applier.Apply(ctx, request)
+	if err != nil {
+		return nil, applyError(err)
+	}
+	return &pollenschema.ApplyResponse{Revision: applied.Revision, Accepted: applied.Accepted, WaitingFor: applied.WaitingFor}, nil
+}
+
+// Status reads the revision in force on each instance.
+func (o *Operator) Status(ctx context.Context, _ *pollenschema.StatusRequest) (*pollenschema.StatusResponse, error) {
+	table := o.config.Table()
+	response := &pollenschema.StatusResponse{Revision: table.Revision, Instances: make([]*pollenschema.InstanceStatus, len(table.Instances))}
+	var group sync.WaitGroup
+	for n, i := range table.Instances {
+		group.Go(func() { response.Instances[n] = o.status(ctx, table, i) })
+	}
+	group.Wait()
+	return response, nil
+}
+
+// Configuration reads the documents in force.
+func (o *Operator) Configuration(context.Context, *pollenschema.ConfigurationRequest) (*pollenschema.ConfigurationResponse, error) {
+	c, err := o.config.Configuration()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	response := &pollenschema.ConfigurationResponse{Revision: c.Revision}
+	for _, name := range slices.Sorted(maps.Keys(c.Zones)) {
+		response.Zones = append(response.Zones, c.Zones[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		response.Services = append(response.Services, c.Services[name])
+	}
+	return response, nil
+}
+
+// Explain tells how one request was answered by this instance.
+func (o *Operator) Explain(_ context.Context, request *pollenschema.ExplainRequest) (*pollenschema.ExplainResponse, error) {
+	trace, ok := o.config.Traces.Find(request.Nonce)
+	if !ok {
+		return &pollenschema.ExplainResponse{}, nil
+	}
+	response := &pollenschema.ExplainResponse{Found: true}
+	for _, step := range trace.Steps() {
+		response.Steps = append(response.Steps, &pollenschema.Step{
+			Time: timestamppb.New(step.Time), Kind: string(step.Kind), Server: step.Server, Detail: step.Detail, Reason: step.Reason,
+		})
+	}
+	return response, nil
+}
+
+// Events lists control decisions of this instance with their causes.
+func (o *Operator) Events(_ context.Context, request *pollenschema.EventsRequest) (*pollenschema.EventsResponse, error) {
+	response := &pollenschema.EventsResponse{}
+	name := o.config.Table().Self.Name
+	for _, event := range o.config.Events.Newest(int(request.Most)) {
+		response.Events = append(response.Events, &pollenschema.Event{
+			Time: timestamppb.New(event.Time), Instance: name, Kind: string(event.Kind), Subject: event.Subject, Cause: event.Cause,
+		})
+	}
+	return response, nil
+}
+
+func (o *Operator) status(ctx context.Context, table *pollenroute.Table, i pollenroute.Instance) *pollenschema.InstanceStatus {
+	status := &pollenschema.InstanceStatus{Name: i.Name, Incarnation: i.Incarnation, Zone: i.Zone}
+	reply, err := o.config.Self(), error(nil)
+	if i.Incarnation != table.Self.Incarnation {
+		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		defer cancel()
+		reply, err = o.config.Peers.Ping(ctx, i, pollenpeer.PingRequest{From: table.Self.Name})
+	}
+	if err != nil {
+		return status
+	}
+	status.State, status.Revision, status.Reachable, status.Groups = reply.State, reply.Revision, true, uint32(reply.Groups)
+	return status
+}
+
+func applyError(err error) error {
+	var conflict *pollenconfig.ConflictError
+	var document *pollenconfig.DocumentError
+	switch {
+	case errors.As(err, &conflict):
+		return withDetail(connect.NewError(connect.CodeAborted, err),
+			&pollenschema.Conflict{Revision: conflict.Revision, ChangeId: conflict.ChangeID})
+	case errors.As(err, &document), errors.Is(err, pollenconfig.ErrNoChange):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+func withDetail(err *connect.Error, message proto.Message) *connect.Error {
+	if detail, encodeErr := connect.NewErrorDetail(message); encodeErr == nil {
+		err.AddDetail(detail)
+	}
+	return err
+}
--- /dev/null
+++ b/pollen/pollenevent/doc.go
@@ -0,0 +1,2 @@
+// Package pollenevent keeps the newest control decisions and request explanations in bounded rings.
+package pollenevent
--- /dev/null
+++ b/pollen/pollenfleet/fleet.go
@@ -0,0 +1,319 @@
+package pollenfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pollenline.example/pollen/pollencaller"
+	"pollenline.example/pollen/pollenfakehost"
+	"pollenline.example/pollen/pollenfakeserver"
+	"pollenline.example/pollen/pollenfakestore"
+	"pollenline.example/pollen/pollenfirm"
+	"pollenline.example/pollen/polleninstance"
+	"pollenline.example/pollen/pollenschema"
+	"pollenline.example/pollen/pollenschema/pollenschemaconnect"
+	"pollenline.example/pollen/pollensettings"
+)
+
+// Config configures a Fleet.
+type Config struct {
+	Firm *pollenfirm.Firm
+	// Programs is the directory of the built programs, and Directory that of settings and logs.
+	Programs  string
+	Directory string
+	// Instances is the number of entry instances.
+	Instances int
+	// ColdTime is how long a backend server takes to warm up.
+	ColdTime time.Duration
+}
+
+// Fleet is a firm's fleet of processes.
+type Fleet struct {
+	config    Config
+	Settings  []*polleninstance.Settings
+	Instances []*Process
+	Servers   []pollenfirm.Server
+	hosts     map[string]*serverHost
+	all       []*Process
+	store     netip.AddrPort
+}
+
+// serverHost is a process that stands in for backend servers.
+type serverHost struct {
+	process  *Process
+	settings *pollenfakehost.ServersSettings
+}
+
+const (
+	storeWritesPerSecond = 400
+	storeReadsPerSecond  = 2000
+	coldFactor           = 4
+	readyTime            = 15 * time.Second
+	readyPoll            = 20 * time.Millisecond
+	callTimeout          = 8 * time.Second
+	storePort            = 7000
+	callerPort           = 7100
+	operatorPort         = 7101
+	peerPort             = 7102
+	steeringPort         = 7200
+	serverPort           = 8000
+)
+
+// Start starts the stand-ins and the entry instances and waits until all instances are listed.
+func Start(ctx context.Context, config Config) (*Fleet, error) {
+	f := &Fleet{config: config, hosts: make(map[string]*serverHost)}
+	f.store = f.address(0, 1, storePort)
+	f.Servers = config.Firm.Servers(func(n int) netip.AddrPort { return f.address(250, 1+n%200, serverPort+n/200) })
+	if err := f.startStandIns(); err != nil {
+		return f, err
+	}
+	for n := range config.Instances {
+		if err := f.startInstance(n); err != nil {
+			return f, err
+		}
+	}
+	return f, f.waitListed(ctx, config.Instances)
+}
+
+// Close ends all processes that the fleet has started.
+func (f *Fleet) Close() {
+	for _, p := range f.all {
+		if !p.Ended() {
+			p.Kill()
+		}
+	}
+}
+
+// Restart starts the entry instance with the given number again, after its end.
+func (f *Fleet) Restart(n int) error {
+	p, err := start(f.config.Directory, f.Settings[n].Name, f.program("pollenentry"), "serve", f.Settings[n])
+	if err != nil {
+		return err
+	}
+	f.Instances[n] = p
+	f.all = append(f.all, p)
+	return nil
+}
+
+// Operator returns a client for the operators' calls of one instance.
+func (f *Fleet) Operator(n int) pollenschemaconnect.OperateClient {
+	return pollenschemaconnect.NewOperateClient(http.DefaultClient, "http://"+f.Settings[n].OperatorAddress.String())
+}
+
+// Caller returns a caller that knows all instances.
+func (f *Fleet) Caller(name, zone string) *pollencaller.Caller {
+	var addresses []netip.AddrPort
+	for _, s := range f.Settings {
+		addresses = append(addresses, s.CallerAddress)
+	}
+	return pollencaller.New(pollencaller.Config{Name: name, Zone: zone, Addresses: addresses})
+}
+
+// Apply makes changes through the first instance that answers, under one change id.
+func (f *Fleet) Apply(ctx context.Context, changeID string, changes ...*pollenschema.Change) (*pollenschema.ApplyResponse, error) {
+	var last error
+	for n, p := range f.Instances {
+		if p.Ended() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		response, err := f.Operator(n).Apply(callCtx, &pollenschema.ApplyRequest{ChangeId: changeID, Changes: changes})
+		cancel()
+		if err == nil {
+			return response, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// Create creates the firm's zones and services.
+func (f *Fleet) Create(ctx context.Context, snapshot string) error {
+	var zones []*pollenschema.Change
+	for _, zone := range f.config.Firm.Zones {
+		zones = append(zones, PutZone(zone, pollenschema.Admin_ADMIN_IN))
+	}
+	if _, err := f.Apply(ctx, "create-zones", zones...); err != nil {
+		return err
+	}
+	var services []*pollenschema.Change
+	for _, service := range f.config.Firm.Services(f.Servers, snapshot) {
+		services = append(services, &pollenschema.Change{Kind: &pollenschema.Change_PutService{PutService: service}})
+	}
+	_, err := f.Apply(ctx, "create-services", services...)
+	return err
+}
+
+// PutZone returns a change that sets the state of an availability zone.
+func PutZone(name string, state pollenschema.Admin) *pollenschema.Change {
+	return &pollenschema.Change{Kind: &pollenschema.Change_PutZone{PutZone: &pollenschema.Zone{Name: name, State: state}}}
+}
+
+// SetFaults puts a backend server into trouble.
+func (f *Fleet) SetFaults(ctx context.Context, server string, faults pollenfakeserver.Faults) error {
+	return f.steer(ctx, server, pollenfakeserver.PathFaults, faults, nil)
+}
+
+// RestartServer sends a backend server into a cold start.
+func (f *Fleet) RestartServer(ctx context.Context, server string) error {
+	return f.steer(ctx, server, pollenfakeserver.PathRestart, struct{}{}, nil)
+}
+
+// Silence makes half of a backend server's open connections silent.
+func (f *Fleet) Silence(ctx context.Context, server string) error {
+	return f.steer(ctx, server, pollenfakeserver.PathSilence, struct{}{}, nil)
+}
+
+// Ledger returns what a backend server has done.
+func (f *Fleet) Ledger(ctx context.Context, server string) (pollenfakeserver.Ledger, error) {
+	var ledger pollenfakeserver.Ledger
+	err := f.steer(ctx, server, pollenfakeserver.PathLedger, struct{}{}, &ledger)
+	return ledger, err
+}
+
+// SetStoreFaults puts the store into trouble.
+func (f *Fleet) SetStoreFaults(ctx context.Context, faults pollenfakestore.Faults) error {
+	return post(ctx, fmt.Sprintf("http://%s%s", f.store, pollenfakestore.PathFaults), faults, nil)
+}
+
+// StoreCalls returns how often each call was made to the store.
+func (f *Fleet) StoreCalls(ctx context.Context) (map[string]int, error) {
+	calls := make(map[string]int)
+	err := post(ctx, fmt.Sprintf("http://%s%s", f.store, pollenfakestore.PathCalls), struct{}{}, &calls)
+	return calls, err
+}
+
+// Host returns the process that stands in for a backend server.
+func (f *Fleet) Host(server string) *Process { return f.hosts[server].process }
+
+func (f *Fleet) address(zone, host, port int) netip.AddrPort {
+	// The second octet keeps fleets of concurrent runs apart.
+	net := byte(16 + os.Getpid()%200)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, net, byte(zone), byte(host)}), uint16(port))
+}
+
+func (f *Fleet) program(name string) string { return filepath.Join(f.config.Programs, name) }
+
+func (f *Fleet) startStandIns() error {
+	settings := &pollenfakehost.StoreSettings{Address: f.store, WritesPerSecond: storeWritesPerSecond, ReadsPerSecond: storeReadsPerSecond}
+	p, err := start(f.config.Directory, "store", f.program("pollenstandin"), "store", settings)
+	if err != nil {
+		return err
+	}
+	f.all = append(f.all, p)
+	// The first server has a process of its own, so that it can be killed; the others share one in each zone.
+	if err := f.startServers(0, "server", f.Servers[:1]); err != nil {
+		return err
+	}
+	for n, zone := range f.config.Firm.Zones {
+		var servers []pollenfirm.Server
+		for _, s := range f.Servers[1:] {
+			if s.Zone == zone {
+				servers = append(servers, s)
+			}
+		}
+		if err := f.startServers(n+1, "servers-"+zone, servers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startServers(number int, name string, servers []pollenfirm.Server) error {
+	settings := &pollenfakehost.ServersSettings{SteeringAddress: f.address(251, 1+number, steeringPort)}
+	for _, s := range servers {
+		settings.Servers = append(settings.Servers, pollenfakehost.ServerSettings{
+			Name: s.Name, Address: s.Address, Slots: s.Family.Slots, Connections: s.Family.Connections,
+			ConnectTime: pollensettings.Duration(s.Family.ConnectTime),
+			ServiceTime: pollensettings.Duration(s.Family.ServiceTime), ShardTime: pollensettings.Duration(s.Family.ShardTime),
+			ColdTime: pollensettings.Duration(f.config.ColdTime), ColdFactor: coldFactor, Warm: true,
+		})
+	}
+	p, err := start(f.config.Directory, name, f.program("pollenstandin"), "servers", settings)
+	if err != nil {
+		return err
+	}
+	f.all = append(f.all, p)
+	for _, s := range servers {
+		f.hosts[s.Name] = &serverHost{process: p, settings: settings}
+	}
+	return nil
+}
+
+func (f *Fleet) startInstance(n int) error {
+	zones := f.config.Firm.Zones
+	zone := n % len(zones)
+	settings := polleninstance.DefaultSettings()
+	settings.Name = fmt.Sprintf("entry-%d", n+1)
+	settings.Zone = zones[zone]
+	settings.CallerAddress = f.address(zone+1, n+1, callerPort)
+	settings.OperatorAddress = f.address(zone+1, n+1, operatorPort)
+	settings.PeerAddress = f.address(zone+1, n+1, peerPort)
+	settings.StoreAddress = f.store
+	f.Settings = append(f.Settings, settings)
+	f.Instances = append(f.Instances, nil)
+	return f.Restart(n)
+}
+
+func (f *Fleet) waitListed(ctx context.Context, want int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for n := range f.Settings {
+		for !f.lists(ctx, n, want) {
+			if ctx.Err() != nil {
+				return &StartError{Name: f.Settings[n].Name, Err: ctx.Err()}
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) lists(ctx context.Context, n, want int) bool {
+	client := pollenschemaconnect.NewEntryClient(http.DefaultClient, "http://"+f.Settings[n].CallerAddress.String())
+	response, err := client.Locate(ctx, &pollenschema.LocateRequest{Caller: "pollenfleet"})
+	return err == nil && len(response.Instances) == want
+}
+
+func (f *Fleet) steer(ctx context.Context, server, path string, request, answer any) error {
+	host := f.hosts[server]
+	return post(ctx, fmt.Sprintf("http://%s/%s%s", host.settings.SteeringAddress, server, path), request, answer)
+}
+
+func post(ctx context.Context, url string, request, answer any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &SteerError{URL: url, Status: response.StatusCode}
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+// SteerError reports a stand-in that refused to be steered.
+type SteerError struct {
+	URL    string
+	Status int
+}
+
+func (e *SteerError) Error() string { return fmt.Sprintf("%s: HTTP status %d", e.URL, e.Status) }
--- /dev/null
+++ b/pollen/pollenfleet/process.go
@@ -0,0 +1,101 @@
+package pollenfleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Process is one process that this one has started.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	done    chan struct{}
+	err     error
+}
+
+// StartError reports a process that could not be started.
+type StartError struct {
+	Name string
+	Err  error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("cannot start %s: %v", e.Name, e.Err) }
+
+func (e *StartError) Unwrap() error { return e.Err }
+
+// start writes the settings to a file and starts a program with them; its output goes to a log file.
+func start(directory, name, program, subcommand string, settings any) (*Process, error) {
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, &StartError{Name: name, Err: err}
+	}
+	file := filepath.Join(directory, name+".json")
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return nil, &StartError{Name: name, Err: err}
+	}
+	output, err := os.OpenFile(filepath.Join(directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, &StartError{Name: name, Err: err}
+	}
+	defer output.Close()
+	p := &Process{Name: name, command: exec.Command(program, subcommand, "-settings", file), done: make(chan struct{})}
+	p.command.Stdout = output
+	p.command.Stderr = output
+	// A child must not outlive the process that steers it.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return nil, &StartError{Name: name, Err: err}
+	}
+	go func() {
+		p.err = p.command.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) error {
+	return p.command.Process.Signal(signal)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop asks the process for a graceful shutdown and returns its error, or ErrSlow after the limit.
+func (p *Process) Stop(limit time.Duration) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return &StopError{Name: p.Name, Limit: limit}
+	}
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// StopError reports a graceful shutdown that took too long.
+type StopError struct {
+	Name  string
+	Limit time.Duration
+}
+
+func (e *StopError) Error() string { return fmt.Sprintf("%s did not end within %v", e.Name, e.Limit) }
--- /dev/null
+++ b/pollen/pollenpeer/server.go
@@ -0,0 +1,159 @@
+package pollenpeer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"pollenline.example/pollen/pollenmessage"
+)
+
+// Handler answers the calls of other instances.
+type Handler interface {
+	Execute(ctx context.Context, q *pollenmessage.SubQuery) pollenmessage.SubAnswer
+	Forward(ctx context.Context, request []byte) ([]byte, error)
+	Ping(request PingRequest) PingReply
+	Watch(ctx context.Context, request WatchRequest) (WatchReply, error)
+	InForce(ctx context.Context, request InForceRequest) InForceReply
+}
+
+// Server serves other instances.
+type Server struct {
+	rpc *rpc.Server
+
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
+}
+
+// NewServer returns a server for a handler.
+func NewServer(handler Handler) *Server {
+	s := &Server{rpc: rpc.NewServer(), open: make(map[net.Conn]bool)}
+	service := &service{handler: handler, running: make(map[string]context.CancelFunc)}
+	if err := s.rpc.RegisterName(serviceName, service); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			klog.InfoS("Peer listener ended", "cause", err.Error())
+			return
+		}
+		if !s.add(conn) {
+			_ = conn.Close()
+			return
+		}
+		go func() {
+			s.rpc.ServeConn(conn)
+			s.remove(conn)
+		}()
+	}
+}
+
+// Close closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+}
+
+const serviceName = "Peer"
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.open[conn] = true
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, conn)
+}
+
+// service holds the methods that net/rpc calls.
+type service struct {
+	handler Handler
+	mu      sync.Mutex
+	running map[string]context.CancelFunc
+}
+
+// Execute runs a sub-query.
+func (s *service) Execute(request *ExecuteRequest, reply *ExecuteReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), request.SubQuery.Timeout)
+	defer s.track(request.SubQuery.ID, cancel)()
+	reply.Answer = s.handler.Execute(ctx, &request.SubQuery)
+	return nil
+}
+
+// Forward runs a caller's request that arrived at another instance.
+func (s *service) Forward(request *ForwardRequest, reply *ForwardReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Timeout)
+	defer s.track(request.ID, cancel)()
+	response, err := s.handler.Forward(ctx, request.Request)
+	reply.ID = request.ID
+	reply.Response = response
+	return err
+}
+
+// Cancel ends a running call.
+func (s *service) Cancel(request *CancelRequest, _ *Empty) error {
+	s.mu.Lock()
+	cancel, ok := s.running[request.ID]
+	s.mu.Unlock()
+	if ok {
+		cancel()
+	}
+	return nil
+}
+
+// Ping tells what is in force here.
+func (s *service) Ping(request *PingRequest, reply *PingReply) error {
+	*reply = s.handler.Ping(*request)
+	return nil
+}
+
+// Watch waits for changes of the replica.
+func (s *service) Watch(request *WatchRequest, reply *WatchReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Wait+callMargin)
+	defer cancel()
+	answer, err := s.handler.Watch(ctx, *request)
+	*reply = answer
+	return err
+}
+
+// InForce waits until a revision is in force.
+func (s *service) InForce(request *InForceRequest, reply *InForceReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Wait)
+	defer cancel()
+	*reply = s.handler.InForce(ctx, *request)
+	return nil
+}
+
+// track makes a call cancellable and returns what ends it.
+func (s *service) track(id string, cancel context.CancelFunc) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[id] = cancel
+	return func() {
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.running, id)
+	}
+}
--- /dev/null
+++ b/pollenctl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/pollenentry/doc.go
@@ -0,0 +1,2 @@
+// Command pollenentry is the program that runs on every entry instance.
+package main
