Add pollenctl and pollenload, and hold work while the table is stale

Cause: an instance that was paused or cut off could send with an old table until its state chart caught up. The lease alone did not say how old the table was.

Change: every follow of the store or of a peer carries the time it was asked at; the gate compares it with the monotonic clock before each send and each request. Preferred owners are found only when the membership or the configuration changes, per zone, instead of at each tick.

--- a/pollen/pollenbackend/client.go
+++ b/pollen/pollenbackend/client.go
@@ -97,7 +97,7 @@
 	if response.StatusCode != http.StatusOK && !answer.NotRun {
 		return nil, &GarbledError{Problem: fmt.Sprintf("HTTP status %d", response.StatusCode)}
 	}
-	return answer, answer.verify(request)
+	return answer, Verify(request, answer)
 }
 
 // ParseAnswer reads an answer without comparing it with its request.
@@ -115,7 +115,8 @@
 // ErrOther is the cause of an answer that belongs to another request.
 var ErrOther = errors.New("answer to another request")
 
-func (a *Answer) verify(request *Request) error {
+// Verify returns a *GarbledError unless the answer is the whole answer to the request.
+func Verify(request *Request, a *Answer) error {
 	if a.ID != request.ID {
 		return &GarbledError{Problem: "crossed", Err: ErrOther}
 	}
--- a/pollen/pollencheck/check.go
+++ b/pollen/pollencheck/check.go
@@ -51,14 +51,30 @@
 	count.Add(1)
 	Violations.WithLabelValues(string(invariant)).Inc()
 	klog.ErrorS(violation, "Invariant violated", "invariant", string(invariant))
+	if handler := handle.Load(); handler != nil {
+		(*handler)(violation)
+		return
+	}
 	if testing.Testing() {
 		panic(violation)
 	}
 }
 
+// Handle makes violations go to a function instead of panicking under test; nil undoes it.
+func Handle(handler func(*Violation)) {
+	if handler == nil {
+		handle.Store(nil)
+		return
+	}
+	handle.Store(&handler)
+}
+
 // Count returns the number of violations since the program started.
 func Count() int64 {
 	return count.Load()
 }
 
-var count atomic.Int64
+var (
+	count  atomic.Int64
+	handle atomic.Pointer[func(*Violation)]
+)
--- a/pollen/pollencontrol/core.go
+++ b/pollen/pollencontrol/core.go
@@ -70,9 +70,11 @@
 	lease    leaseState
 	groups   map[pollenroute.Group]*groupState
 	owners   map[pollenroute.Group]ownerState
-	records  map[string]Record
-	peers    map[string]*peerState
-	follow   followState
+	// preferred names the owner that each group should have, for the groups that concern this instance.
+	preferred map[pollenroute.Group]pollenroute.Instance
+	records   map[string]Record
+	peers     map[string]*peerState
+	follow    followState
 
 	configuration *pollenconfig.Configuration
 	table         *pollenroute.Table
@@ -80,9 +82,10 @@
 	replicaRead bool
 	dirty       bool
 	startedAt   time.Time
-	storeHeard  time.Time
-	leaving     atomic.Bool
-	leaseID     atomic.Uint64
+	// freshAt is a time up to which the replica is known to be complete.
+	freshAt time.Time
+	leaving atomic.Bool
+	leaseID atomic.Uint64
 }
 
 // NewCore returns the control state of an instance that has not joined yet.
@@ -97,7 +100,6 @@
 		peers:         make(map[string]*peerState),
 		configuration: pollenconfig.Empty(),
 		startedAt:     time.Now(),
-		storeHeard:    time.Now(),
 	}
 	table, err := pollenroute.Build(c.configuration)
 	if err != nil {
@@ -157,6 +159,9 @@
 // TakesCallers reports whether requests of callers are taken; it may be called from any goroutine.
 func (c *Core) TakesCallers() bool { return c.instance.Has("TakesCallers") }
 
+// Age returns for how long the replica is not known to be complete; it may be called from any goroutine.
+func (c *Core) Age() time.Duration { return time.Since(c.config.Ownership.current.Load().freshAt) }
+
 // Leaving reports whether a graceful shutdown has begun; it may be called from any goroutine.
 func (c *Core) Leaving() bool { return c.leaving.Load() }
 
@@ -274,15 +279,21 @@
 	c.config.Log.Add(pollenevent.KindConfiguration, fmt.Sprintf("revision %d", next.Revision), "change "+next.ChangeID)
 }
 
-// publish hands traffic a new table if anything has changed.
+// publish hands traffic a new table if anything in it has changed, and the state of lease and groups.
+//
+// The table goes first, so that traffic never takes an old one for fresh.
 func (c *Core) publish() {
-	if !c.dirty {
-		return
-	}
+	changed := c.dirty
 	c.dirty = false
+	if changed {
+		table := c.table.With(c.self(), c.instances(), c.ownersByGroup())
+		c.config.Publish(table)
+		c.preferOwners(table)
+	}
 	c.publishOwnership()
-	c.config.Publish(c.table.With(c.self(), c.instances(), c.ownersByGroup()))
-	c.config.Traffic.Pump()
+	if changed {
+		c.config.Traffic.Pump()
+	}
 }
 
 func (c *Core) self() pollenroute.Instance {
--- a/pollen/pollencontrol/follow.go
+++ b/pollen/pollencontrol/follow.go
@@ -19,7 +19,7 @@
 const (
 	// watchersPerZone instances of each zone watch the store; the others follow one of them.
 	watchersPerZone = 2
-	watchWait       = time.Second
+	watchWait       = 500 * time.Millisecond
 	// followRetryTime is the pause after a failed watch.
 	followRetryTime = 100 * time.Millisecond
 )
@@ -35,7 +35,9 @@
 
 // followed is the result of following a source once.
 type followed struct {
-	source  string
+	source string
+	// fresh is a time up to which the source's copy held everything that was in force.
+	fresh   time.Time
 	changes pollenstore.Changes
 	listing pollenstore.Listing
 	whole   bool
@@ -67,7 +69,7 @@
 }
 
 func (c *Core) followStore(ctx context.Context, after uint64, read bool) followed {
-	m := followed{source: storeSource}
+	m := followed{source: storeSource, fresh: time.Now()}
 	if !read {
 		m.whole = true
 		m.listing, m.err = c.config.Store.List(ctx, Prefix)
@@ -83,8 +85,9 @@
 }
 
 func (c *Core) followPeer(ctx context.Context, source string, i pollenroute.Instance, after uint64) followed {
+	sent := time.Now()
 	reply, err := c.config.Peers.Watch(ctx, i, pollenpeer.WatchRequest{After: after, Wait: watchWait})
-	return followed{source: source, changes: reply.Changes, listing: reply.Listing, whole: reply.Whole, err: err}
+	return followed{source: source, fresh: sent.Add(-reply.Age), changes: reply.Changes, listing: reply.Listing, whole: reply.Whole, err: err}
 }
 
 func (c *Core) followed(m followed) {
@@ -96,9 +99,7 @@
 		return
 	}
 	f.failed = ""
-	if m.source == storeSource {
-		c.storeHeard = time.Now()
-	}
+	defer c.hear(m)
 	if m.whole {
 		if c.config.Replica.Reset(m.listing) {
 			c.takeListing()
@@ -110,6 +111,16 @@
 	c.tickFollow()
 }
 
+// hear moves the time up to which the replica is known to be complete.
+//
+// It counts from when the source was asked: an answer that lay in a socket while this process was paused proves
+// nothing about the time since.
+func (c *Core) hear(m followed) {
+	if c.replicaRead && m.fresh.After(c.freshAt) {
+		c.freshAt = m.fresh
+	}
+}
+
 // chooseSource returns where to take the next changes from: a peer that is ahead while the store is silent, the
 // store for the watchers of a zone, and a watcher for the others.
 func (c *Core) chooseSource() (string, pollenroute.Instance) {
--- a/pollen/pollencontrol/groups.go
+++ b/pollen/pollencontrol/groups.go
@@ -100,11 +100,10 @@
 		return
 	}
 	now := time.Now()
-	view := c.table.With(c.self(), c.instances(), nil)
 	claims, releases := c.busyGroups()
-	for _, group := range c.table.OccupiedGroups() {
+	for group, preferred := range c.preferred {
 		g := c.group(group)
-		preferred, ok := view.Preferred(group)
+		ok := preferred.Name != ""
 		mine := ok && preferred.Incarnation == c.config.Self.Incarnation
 		switch {
 		case g.machine.State() == "Owned" && (!mine || !c.instance.Has("Claims")):
@@ -130,6 +129,18 @@
 	})
 }
 
+// preferOwners finds the preferred owners of the groups that this instance owns or should own.
+func (c *Core) preferOwners(table *pollenroute.Table) {
+	c.preferred = make(map[pollenroute.Group]pollenroute.Instance)
+	candidates := table.Candidates()
+	for _, group := range table.Occupied {
+		preferred, _ := candidates.Preferred(group)
+		if _, concerned := c.groups[group]; concerned || preferred.Incarnation == c.config.Self.Incarnation {
+			c.preferred[group] = preferred
+		}
+	}
+}
+
 func (c *Core) group(group pollenroute.Group) *groupState {
 	g, ok := c.groups[group]
 	if !ok {
@@ -292,7 +303,10 @@
 			modes[group] = groupWaits
 		}
 	}
-	c.config.Ownership.publish(modes, c.lease.deadlineIfHeld(), c.sharedUntil())
+	c.config.Ownership.current.Store(&ownershipView{
+		groups: modes, leaseDeadline: c.lease.deadlineIfHeld(), sharedUntil: c.sharedUntil(),
+		freshUntil: c.freshUntil(), freshAt: c.freshAt,
+	})
 }
 
 func (l *leaseState) deadlineIfHeld() time.Time {
--- a/pollen/pollencontrol/lease.go
+++ b/pollen/pollencontrol/lease.go
@@ -89,7 +89,6 @@
 	if m.err != nil {
 		return
 	}
-	c.storeHeard = time.Now()
 	c.lease.id = m.lease.ID
 	c.leaseID.Store(m.lease.ID)
 	c.lease.deadline = m.sent.Add(m.lease.Duration - leaseMargin)
@@ -107,13 +106,11 @@
 	var gone *pollenstore.LeaseGoneError
 	switch {
 	case m.err == nil:
-		c.storeHeard = time.Now()
 		l.deadline = m.sent.Add(LeaseTime - leaseMargin)
 		l.sharedUntil = time.Time{}
 		c.fireLease("Renewed", "the store answers")
 		c.register()
 	case errors.As(m.err, &gone):
-		c.storeHeard = time.Now()
 		l.deadline = time.Time{}
 		l.sharedUntil = time.Time{}
 		l.registered = false
@@ -125,7 +122,6 @@
 		l.sharedUntil = time.Now().Add(sharedTime)
 		// The renewal may have taken effect; the deadline counts from the last one that is known to have.
 	}
-	c.dirty = true
 }
 
 // register writes the instance's record under the lease.
@@ -155,7 +151,6 @@
 		return
 	}
 	l.registered = true
-	c.storeHeard = time.Now()
 }
 
 func (c *Core) fireLease(event, cause string) {
@@ -163,5 +158,4 @@
 	if changed {
 		c.config.Log.Add(pollenevent.KindLease, c.config.Self.Name, fmt.Sprintf("%s to %s: %s", from, to, cause))
 	}
-	c.dirty = true
 }
--- a/pollen/pollencontrol/ownership.go
+++ b/pollen/pollencontrol/ownership.go
@@ -1,7 +1,6 @@
 package pollencontrol
 
 import (
-	"maps"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +34,8 @@
 	}
 	now := time.Now()
 	switch {
+	case !now.Before(view.freshUntil):
+		return pollenlimit.ModeHeld
 	case now.Before(view.leaseDeadline):
 		return pollenlimit.ModeFull
 	case now.Before(view.sharedUntil):
@@ -43,6 +44,13 @@
 	return pollenlimit.ModeHeld
 }
 
+// Fresh reports whether the table in force may be relied on now.
+//
+// It compares with the monotonic clock, so that a process that was paused finds its table stale.
+func (o *Ownership) Fresh() bool {
+	return time.Now().Before(o.current.Load().freshUntil)
+}
+
 // groupMode is a group's state as far as traffic needs to know it.
 type groupMode int
 
@@ -58,8 +66,8 @@
 	leaseDeadline time.Time
 	// sharedUntil bounds sending without a lease in an outage of the store.
 	sharedUntil time.Time
-}
-
-func (o *Ownership) publish(groups map[pollenroute.Group]groupMode, leaseDeadline, sharedUntil time.Time) {
-	o.current.Store(&ownershipView{groups: maps.Clone(groups), leaseDeadline: leaseDeadline, sharedUntil: sharedUntil})
+	// freshUntil is until when the table may be relied on without further word.
+	freshUntil time.Time
+	// freshAt is a time up to which the replica is known to be complete.
+	freshAt time.Time
 }
--- a/pollen/pollencontrol/peers.go
+++ b/pollen/pollencontrol/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"pollenline.example/pollen/pollenevent"
@@ -28,6 +29,7 @@
 	heard    time.Time
 	// gone is when its record went away, zero while it stands.
 	gone          time.Time
+	notedSilent   bool
 	busy          bool
 	nextPing      time.Time
 	leaving       bool
@@ -40,6 +42,7 @@
 // pinged is the result of a ping.
 type pinged struct {
 	name  string
+	sent  time.Time
 	reply pollenpeer.PingReply
 	err   error
 }
@@ -95,6 +98,7 @@
 			delete(c.peers, name)
 			continue
 		}
+		c.noteSilence(name, p)
 		if p.busy || now.Before(p.nextPing) {
 			continue
 		}
@@ -103,7 +107,7 @@
 		i := p.instance
 		c.async(callTimeout, func(ctx context.Context) any {
 			reply, err := c.config.Peers.Ping(ctx, i, request)
-			return pinged{name: name, reply: reply, err: err}
+			return pinged{name: name, sent: now, reply: reply, err: err}
 		})
 	}
 }
@@ -114,42 +118,86 @@
 		return
 	}
 	p.busy = false
-	wasSilent := p.silent()
 	if m.err == nil && m.reply.Incarnation == p.instance.Incarnation {
-		p.heard = time.Now()
+		p.heard = m.sent
 		p.storeRevision = m.reply.StoreRevision
 		p.revision = m.reply.Revision
-		p.leaving = p.leaving || m.reply.Leaving
+		if m.reply.Leaving && !p.leaving {
+			p.leaving = true
+			c.dirty = true
+		}
+	}
+	c.noteSilence(m.name, p)
+}
+
+// noteSilence notices that a peer went silent or is heard again.
+func (c *Core) noteSilence(name string, p *peerState) {
+	if p.silent() == p.notedSilent {
+		return
 	}
-	if wasSilent != p.silent() {
-		c.config.Log.Add(pollenevent.KindPeer, m.name, "heard again")
+	p.notedSilent = p.silent()
+	cause := "heard again"
+	if p.notedSilent {
+		cause = "does not answer"
 	}
+	c.config.Log.Add(pollenevent.KindPeer, name, cause)
 	c.dirty = true
 }
 
 // hearsPeers reports whether at least half of the other instances were heard lately.
 func (c *Core) hearsPeers() bool {
-	heard, total := 0, 0
+	until, any := c.heardUntil()
+	return !any || time.Now().Before(until)
+}
+
+// heardUntil returns until when at least half of the other instances count as heard; any is set if there are others.
+func (c *Core) heardUntil() (until time.Time, any bool) {
+	var heard []time.Time
 	for name, p := range c.peers {
-		if _, stands := c.records[name]; !stands && p.silent() {
-			continue
+		if _, stands := c.records[name]; stands || !p.silent() {
+			heard = append(heard, p.heard)
 		}
-		total++
-		if !p.silent() {
-			heard++
+	}
+	if len(heard) == 0 {
+		return time.Time{}, false
+	}
+	slices.SortFunc(heard, func(a, b time.Time) int { return b.Compare(a) })
+	return heard[(len(heard)-1)/2].Add(PeerSilentTime), true
+}
+
+// behind reports whether a peer that was heard has seen more of the store than this instance.
+func (c *Core) behind() bool {
+	for _, p := range c.peers {
+		if !p.silent() && p.storeRevision > c.config.Replica.Revision() {
+			return true
 		}
 	}
-	return total == 0 || 2*heard >= total
+	return false
+}
+
+// freshUntil returns until when the table may be relied on without further word.
+//
+// The store's word counts for isolationTime. Without it, as in an outage of the store, half of the peers must be
+// heard and none of them may be ahead.
+func (c *Core) freshUntil() time.Time {
+	byStore := c.freshAt.Add(isolationTime)
+	if time.Now().Before(byStore) || c.behind() || !c.replicaRead {
+		return byStore
+	}
+	byPeers, any := c.heardUntil()
+	if any && byPeers.After(byStore) {
+		return byPeers
+	}
+	return byStore
 }
 
 func (c *Core) tickIsolation() {
-	storeSilent := time.Since(c.storeHeard) > isolationTime
-	if storeSilent && (!c.hearsPeers() || len(c.peers) == 0) {
+	if !time.Now().Before(c.freshUntil()) {
 		c.fire("Isolated", "neither the store nor half of the peers were heard")
 		return
 	}
 	c.fire("Reconnected", "the store or the peers are heard")
-	if c.instance.State() == "Joining" && c.replicaRead && storeSilent && len(c.peers) > 0 {
+	if c.instance.State() == "Joining" && !c.lease.registered && time.Since(c.startedAt) > isolationTime {
 		c.fire("Registered", "the store is down; the state came from a peer")
 	}
 }
--- a/pollen/polleninstance/control.go
+++ b/pollen/polleninstance/control.go
@@ -5,61 +5,40 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
-	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"k8s.io/klog/v2"
-
-	"pollenline.example/pollen/pollencontrol"
 )
 
 // exitPanic is the exit status after the control state was found broken.
 const exitPanic = 3
 
-// controlActor runs the control state in one actor.
-type controlActor struct {
+// protoActor is an actor of the actor library.
+type protoActor struct {
 	system *actor.ActorSystem
 	pid    *actor.PID
-	core   *pollencontrol.Core
-	done   chan struct{}
-}
-
-func newControlActor(logger *slog.Logger, build func(post func(any)) *pollencontrol.Core) *controlActor {
-	c := &controlActor{
-		system: actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger })),
-		done:   make(chan struct{}),
-	}
-	c.core = build(c.post)
-	c.pid = c.system.Root.Spawn(actor.PropsFromFunc(c.receive))
-	return c
 }
 
-// run posts ticks until stop is called.
-func (c *controlActor) run() {
-	ticker := time.NewTicker(pollencontrol.TickTime)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.done:
-			return
-		case <-ticker.C:
-			c.post(pollencontrol.Tick{})
-		}
-	}
+func spawn(logger *slog.Logger, receive func(message any)) *protoActor {
+	system := actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
+	return &protoActor{system: system, pid: system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) {
+		deliver(ctx, receive)
+	}))}
 }
 
-func (c *controlActor) stop() {
-	close(c.done)
-	c.system.Root.Stop(c.pid)
-	c.system.Shutdown()
+// Post implements Actor.
+func (a *protoActor) Post(message any) {
+	a.system.Root.Send(a.pid, message)
 }
 
-func (c *controlActor) post(message any) {
-	c.system.Root.Send(c.pid, message)
+// Stop implements Actor.
+func (a *protoActor) Stop() {
+	a.system.Root.Stop(a.pid)
+	a.system.Shutdown()
 }
 
-func (c *controlActor) receive(ctx actor.Context) {
-	// The actor library would restart the actor with its state half changed.
+// deliver hands a message on; the actor library would restart a broken actor with its state half changed.
+func deliver(ctx actor.Context, receive func(message any)) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			klog.ErrorS(nil, "Control state is broken", "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
@@ -70,5 +49,5 @@
 	case *actor.Started, *actor.Stopping, *actor.Stopped, *actor.Restarting:
 		return
 	}
-	c.core.Receive(ctx.Message())
+	receive(ctx.Message())
 }
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -37,21 +37,49 @@
 	traceCapacity             = 2000
 )
 
+// Peers calls other instances.
+type Peers interface {
+	pollencontrol.Peers
+	// Execute runs a sub-query on the instance that owns its backend server.
+	Execute(ctx context.Context, i pollenroute.Instance, q *pollenmessage.SubQuery) pollenmessage.SubAnswer
+	// Forward passes a caller's request on to the instance that its id names.
+	Forward(ctx context.Context, i pollenroute.Instance, request *pollenpeer.ForwardRequest) (*pollenpeer.ForwardReply, error)
+}
+
+// Actor delivers messages to one function, one at a time and in order.
+type Actor interface {
+	Post(message any)
+	Stop()
+}
+
+// Config configures an Instance with its ways to the outside.
+type Config struct {
+	Settings *Settings
+	Store    pollencontrol.Store
+	Peers    Peers
+	// Connect returns the way to a backend server.
+	Connect func(server *pollenroute.Server) pollenowner.Backend
+	// Spawn starts the actor that holds the control state.
+	Spawn func(receive func(message any)) Actor
+}
+
 // Instance is one running entry instance.
 type Instance struct {
+	config   Config
 	settings *Settings
 	registry *prometheus.Registry
 	events   *pollenevent.Log
 	traces   *pollenevent.Traces
 	replica  *pollenreplica.Replica
 	table    atomic.Pointer[tableBox]
-	control  *controlActor
+	core     *pollencontrol.Core
+	actor    Actor
 	owner    *pollenowner.Owner
-	peers    *pollenpeer.Client
-	store    *pollenstore.Client
 	caller   *pollenedge.Caller
 	operator *pollenedge.Operator
 	inFlight atomic.Int64
+
+	ownership *pollencontrol.Ownership
 }
 
 // tableBox is a table with a channel that is closed when a newer one is published.
@@ -60,40 +88,62 @@
 	newer chan struct{}
 }
 
-// New puts an instance together; nothing runs yet.
-func New(settings *Settings, logger *slog.Logger) *Instance {
+// Dial returns the configuration of an instance that reaches the outside over the network.
+func Dial(settings *Settings, logger *slog.Logger) Config {
+	return Config{
+		Settings: settings,
+		Store: pollenstore.NewClient(pollenstore.ClientConfig{
+			Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(),
+		}),
+		Peers:   pollenpeer.NewClient(),
+		Connect: func(s *pollenroute.Server) pollenowner.Backend { return pollenbackend.NewClient(s) },
+		Spawn:   func(receive func(any)) Actor { return spawn(logger, receive) },
+	}
+}
+
+// New puts an instance together; it does nothing until it is ticked.
+func New(config Config) *Instance {
+	settings := config.Settings
 	i := &Instance{
+		config:   config,
 		settings: settings,
 		registry: prometheus.NewRegistry(),
 		events:   pollenevent.NewLog(eventCapacity),
 		traces:   pollenevent.NewTraces(traceCapacity),
 		replica:  pollenreplica.New(),
-		peers:    pollenpeer.NewClient(),
-		store: pollenstore.NewClient(pollenstore.ClientConfig{
-			Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(),
-		}),
+
+		ownership: pollencontrol.NewOwnership(),
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), pollencheck.Violations)
 	self := pollencontrol.Record{
 		Name: settings.Name, Incarnation: rand.Text(), Zone: settings.Zone,
 		Peer: settings.PeerAddress, Caller: settings.CallerAddress, Operator: settings.OperatorAddress,
 	}
-	ownership := pollencontrol.NewOwnership()
+	i.publish(&pollenroute.Table{Self: pollenroute.Instance{Name: self.Name, Incarnation: self.Incarnation}})
 	i.owner = pollenowner.NewOwner(pollenowner.Config{
-		Table: i.Table, Ownership: ownership, Log: i.events, Metrics: pollenowner.NewMetrics(i.registry),
-		Connect: func(s *pollenroute.Server) pollenowner.Backend { return pollenbackend.NewClient(s) },
+		Table: i.Table, Ownership: i.ownership, Log: i.events, Metrics: pollenowner.NewMetrics(i.registry), Connect: config.Connect,
 	})
-	i.control = newControlActor(logger, func(post func(any)) *pollencontrol.Core {
-		return pollencontrol.NewCore(pollencontrol.Config{
-			Self: self, Store: i.store, Peers: i.peers, Traffic: i.owner, Replica: i.replica, Ownership: ownership,
-			Publish: i.publish, Post: post, Log: i.events, Seeds: seeds(settings.SeedAddresses),
-		})
+	i.core = pollencontrol.NewCore(pollencontrol.Config{
+		Self: self, Store: config.Store, Peers: config.Peers, Traffic: i.owner, Replica: i.replica, Ownership: i.ownership,
+		Publish: i.publish, Post: i.Post, Log: i.events, Seeds: seeds(settings.SeedAddresses),
 	})
-	i.publish(&pollenroute.Table{Self: pollenroute.Instance{Name: self.Name, Incarnation: self.Incarnation}})
+	i.actor = config.Spawn(i.core.Receive)
 	i.buildEdge(self)
 	return i
 }
 
+// Post sends a message to the control state.
+func (i *Instance) Post(message any) { i.actor.Post(message) }
+
+// Caller returns the handler of callers' requests.
+func (i *Instance) Caller() *pollenedge.Caller { return i.caller }
+
+// Operator returns the handler of operators' requests.
+func (i *Instance) Operator() *pollenedge.Operator { return i.operator }
+
+// State returns the state of the instance's chart.
+func (i *Instance) State() string { return i.core.State() }
+
 // Table returns the table in force.
 func (i *Instance) Table() *pollenroute.Table {
 	return i.table.Load().table
@@ -102,9 +152,9 @@
 // Refusal implements pollenquery.Gate.
 func (i *Instance) Refusal() pollenschema.Reason {
 	switch {
-	case !i.control.core.TakesCallers() && i.control.core.State() == "Isolated":
+	case !i.ownership.Fresh():
 		return pollenschema.Reason_REASON_STALE
-	case !i.control.core.TakesCallers():
+	case !i.core.TakesCallers():
 		return pollenschema.Reason_REASON_LEAVING
 	case !i.Table().ZoneTakesWork(i.settings.Zone):
 		return pollenschema.Reason_REASON_ZONE_OUT
@@ -112,6 +162,10 @@
 	return pollenschema.Reason_REASON_UNSPECIFIED
 }
 
+func (i *Instance) takesCallers() bool {
+	return i.core.TakesCallers() && i.ownership.Fresh()
+}
+
 // Send implements pollenquery.Sender: a sub-query goes to this instance's owner role or to another instance.
 func (i *Instance) Send(ctx context.Context, owner pollenroute.Instance, q *pollenmessage.SubQuery) pollenmessage.SubAnswer {
 	if owner.Incarnation == i.Table().Self.Incarnation {
@@ -119,12 +173,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
 	defer cancel()
-	return i.peers.Execute(ctx, owner.Peer, q)
+	return i.config.Peers.Execute(ctx, owner, q)
 }
 
 // Forward implements pollenedge.Forwarder.
 func (i *Instance) Forward(ctx context.Context, to pollenroute.Instance, request *pollenpeer.ForwardRequest) (*pollenpeer.ForwardReply, error) {
-	return i.peers.Forward(ctx, to.Peer, request)
+	return i.config.Peers.Forward(ctx, to, request)
 }
 
 func (i *Instance) buildEdge(self pollencontrol.Record) {
@@ -135,12 +189,12 @@
 		Register: pollenonce.NewRegister(pollenonce.Config{Incarnation: self.Incarnation, Capacity: i.settings.RememberedRequests}),
 	})
 	i.caller = pollenedge.NewCaller(pollenedge.CallerConfig{
-		Table: i.Table, TakesCallers: i.control.core.TakesCallers, Root: root, Forwarder: i,
+		Table: i.Table, TakesCallers: i.takesCallers, Root: root, Forwarder: i,
 	})
 	i.operator = pollenedge.NewOperator(pollenedge.OperatorConfig{
-		Table: i.Table, Peers: i.peers, Self: i.status, Configuration: i.configuration, Events: i.events, Traces: i.traces,
+		Table: i.Table, Peers: i.config.Peers, Self: i.status, Configuration: i.configuration, Events: i.events, Traces: i.traces,
 		Applier: &pollencontrol.Applier{
-			Store: i.store, Peers: i.peers, Table: i.Table, InForce: i.inForce, Incarnation: self.Incarnation,
+			Store: i.config.Store, Peers: i.config.Peers, Table: i.Table, InForce: i.inForce, Incarnation: self.Incarnation,
 		},
 	})
 }
@@ -176,9 +230,9 @@
 		}
 	}
 	return pollenpeer.PingReply{
-		Name: table.Self.Name, Incarnation: table.Self.Incarnation, State: i.control.core.State(),
+		Name: table.Self.Name, Incarnation: table.Self.Incarnation, State: i.core.State(),
 		StoreRevision: i.replica.Revision(), Revision: table.Revision, Groups: groups,
-		Leaving: i.control.core.Leaving(),
+		Leaving: i.core.Leaving(),
 	}
 }
 
--- a/pollen/polleninstance/run.go
+++ b/pollen/polleninstance/run.go
@@ -38,12 +38,14 @@
 		return err
 	}
 	callers, operators := i.callerServer(), i.operatorServer()
-	peers := pollenpeer.NewServer(&peerHandler{instance: i})
+	peers := pollenpeer.NewServer(i.PeerHandler())
 	failed := make(chan error, 2)
 	go serve(callers, listeners.caller, failed)
 	go serve(operators, listeners.operator, failed)
 	go peers.Serve(listeners.peer)
-	go i.control.run()
+	ticks, stopTicks := context.WithCancel(context.Background())
+	defer stopTicks()
+	go i.Tick(ticks)
 	klog.InfoS("Serving", "callers", i.settings.CallerAddress, "operators", i.settings.OperatorAddress, "peers", i.settings.PeerAddress)
 
 	select {
@@ -51,30 +53,46 @@
 		return err
 	case <-stop.Done():
 	}
-	i.leave(callers)
+	i.Leave(callers.Shutdown)
 	_ = listeners.peer.Close()
 	peers.Close()
-	i.peers.Close()
-	i.control.stop()
+	stopTicks()
+	i.actor.Stop()
 	return operators.Close()
 }
 
-// leave ends the instance's part in the fleet: no caller, then no request, then no group.
-func (i *Instance) leave(callers *http.Server) {
+// Tick drives the control state until ctx is done.
+func (i *Instance) Tick(ctx context.Context) {
+	ticker := time.NewTicker(pollencontrol.TickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			i.Post(pollencontrol.Tick{})
+		}
+	}
+}
+
+// Leave ends the instance's part in the fleet: no caller, then no request, then no group.
+//
+// It calls drain to wait for the last of the callers' requests.
+func (i *Instance) Leave(drain func(ctx context.Context) error) {
 	klog.InfoS("Graceful shutdown begins", "reference", referenceTime.String())
-	i.control.post(pollencontrol.Stop{})
+	i.Post(pollencontrol.Stop{})
 	time.Sleep(referenceTime)
-	i.control.post(pollencontrol.Unreferenced{})
+	i.Post(pollencontrol.Unreferenced{})
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := drain(ctx); err != nil {
 		klog.ErrorS(err, "Requests were still running at the end of the drain time")
 	}
 	for ctx.Err() == nil && (i.status().Groups > 0 || i.inFlight.Load() > 0) && !i.alone() {
 		time.Sleep(drainPoll)
 	}
-	i.control.post(pollencontrol.Drained{})
-	i.control.core.RevokeLease(ctx)
+	i.Post(pollencontrol.Drained{})
+	i.core.RevokeLease(ctx)
 	klog.InfoS("Graceful shutdown ends")
 }
 
@@ -135,6 +153,9 @@
 	}
 }
 
+// PeerHandler returns the handler of other instances' calls.
+func (i *Instance) PeerHandler() pollenpeer.Handler { return &peerHandler{instance: i} }
+
 // peerHandler answers other instances.
 type peerHandler struct {
 	instance *Instance
@@ -162,11 +183,13 @@
 // Watch implements pollenpeer.Handler.
 func (h *peerHandler) Watch(ctx context.Context, request pollenpeer.WatchRequest) (pollenpeer.WatchReply, error) {
 	replica := h.instance.replica
+	// The age is taken first: what comes into the copy after that only makes it fresher.
+	age := h.instance.core.Age()
 	changes, err := replica.Watch(ctx, request.After, request.Wait)
 	if err != nil {
-		return pollenpeer.WatchReply{Listing: replica.List(pollencontrol.Prefix), Whole: true}, nil
+		return pollenpeer.WatchReply{Listing: replica.List(pollencontrol.Prefix), Whole: true, Age: age}, nil
 	}
-	return pollenpeer.WatchReply{Changes: changes}, nil
+	return pollenpeer.WatchReply{Changes: changes, Age: age}, nil
 }
 
 // InForce implements pollenpeer.Handler.
--- a/pollen/pollenpeer/client.go
+++ b/pollen/pollenpeer/client.go
@@ -49,9 +49,9 @@
 func (e *CallError) Unwrap() error { return e.Err }
 
 // Execute runs a sub-query on the instance that owns its backend server.
-func (c *Client) Execute(ctx context.Context, address netip.AddrPort, q *pollenmessage.SubQuery) pollenmessage.SubAnswer {
+func (c *Client) Execute(ctx context.Context, i pollenroute.Instance, q *pollenmessage.SubQuery) pollenmessage.SubAnswer {
 	var reply ExecuteReply
-	err := c.call(ctx, address, "Execute", &ExecuteRequest{SubQuery: *q}, &reply)
+	err := c.call(ctx, i.Peer, "Execute", &ExecuteRequest{SubQuery: *q}, &reply)
 	var notConnected *NotConnectedError
 	switch {
 	case err == nil:
@@ -59,16 +59,16 @@
 	case errors.As(err, &notConnected):
 		return q.Refuse(pollenschema.Reason_REASON_NO_OWNER, err.Error())
 	case ctx.Err() != nil:
-		go c.cancel(address, q.ID)
+		go c.cancel(i.Peer, q.ID)
 		return q.Unknown(pollenschema.Reason_REASON_DEADLINE, err.Error())
 	}
 	return q.Unknown(pollenschema.Reason_REASON_CONNECTION, err.Error())
 }
 
 // Forward passes a caller's request on to another instance.
-func (c *Client) Forward(ctx context.Context, address netip.AddrPort, request *ForwardRequest) (*ForwardReply, error) {
+func (c *Client) Forward(ctx context.Context, i pollenroute.Instance, request *ForwardRequest) (*ForwardReply, error) {
 	reply := &ForwardReply{}
-	if err := c.call(ctx, address, "Forward", request, reply); err != nil {
+	if err := c.call(ctx, i.Peer, "Forward", request, reply); err != nil {
 		return nil, err
 	}
 	if reply.ID != request.ID {
--- a/pollen/pollenpeer/messages.go
+++ b/pollen/pollenpeer/messages.go
@@ -35,6 +35,8 @@
 	Changes pollenstore.Changes
 	Listing pollenstore.Listing
 	Whole   bool
+	// Age is for how long the copy is not known to be complete.
+	Age time.Duration
 }
 
 // InForceRequest waits until a revision of the configuration is in force.
--- a/pollen/pollenroute/group.go
+++ b/pollen/pollenroute/group.go
@@ -53,24 +53,54 @@
 	return fmt.Sprintf("%q names no group: want zone/number", e.Text)
 }
 
-// Preferred returns the instance that should own a group: by rendezvous hashing, in the group's zone if it can.
-//
-// Instances in an availability zone that is out, and those that do not claim, are passed over.
-func (t *Table) Preferred(g Group) (Instance, bool) {
-	var best Instance
-	var bestScore uint64
-	found := false
+// Candidates are the instances that may own groups, by availability zone.
+type Candidates struct {
+	byZone map[string][]candidate
+	all    []candidate
+}
+
+// candidate is an instance with the hash of its name.
+type candidate struct {
+	instance Instance
+	hash     uint64
+}
+
+// Candidates returns the instances that may own groups now: those that claim, in zones that take work.
+func (t *Table) Candidates() *Candidates {
+	c := &Candidates{byZone: make(map[string][]candidate)}
 	for _, i := range t.Instances {
 		if !i.Claims || !t.ZoneTakesWork(i.Zone) {
 			continue
 		}
-		score := xxhash.Sum64String(i.Name+"|"+g.String())>>1 | 1
-		if i.Zone == g.Zone {
-			score |= 1 << 63
-		}
-		if !found || score > bestScore {
-			best, bestScore, found = i, score, true
+		one := candidate{instance: i, hash: xxhash.Sum64String(i.Name)}
+		c.byZone[i.Zone] = append(c.byZone[i.Zone], one)
+		c.all = append(c.all, one)
+	}
+	return c
+}
+
+// Preferred returns the instance that should own a group: by rendezvous hashing, in the group's zone if it can.
+func (c *Candidates) Preferred(g Group) (Instance, bool) {
+	candidates := c.byZone[g.Zone]
+	if len(candidates) == 0 {
+		candidates = c.all
+	}
+	hash := xxhash.Sum64String(g.String())
+	var best Instance
+	var bestScore uint64
+	for _, one := range candidates {
+		if score := mix(one.hash ^ hash); best.Name == "" || score > bestScore {
+			best, bestScore = one.instance, score
 		}
 	}
-	return best, found
+	return best, best.Name != ""
+}
+
+// mix spreads the bits of a hash, as the finaliser of SplitMix64 does.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/pollen/pollenroute/table.go
+++ b/pollen/pollenroute/table.go
@@ -73,6 +73,8 @@
 	Owners    map[Group]Instance
 	Instances []Instance
 	Self      Instance
+	// Occupied are the groups that hold at least one backend server, in a fixed order.
+	Occupied []Group
 }
 
 // Build returns the table for a configuration, without owners and instances.
@@ -96,6 +98,7 @@
 			t.Servers[server.ID()] = server
 		}
 	}
+	t.Occupied = t.occupiedGroups()
 	return t, nil
 }
 
@@ -145,25 +148,6 @@
 	return Instance{}, false
 }
 
-// OccupiedGroups returns the groups that hold at least one backend server, in a fixed order.
-func (t *Table) OccupiedGroups() []Group {
-	seen := make(map[Group]bool)
-	var groups []Group
-	for _, s := range t.Servers {
-		if !seen[s.Group] {
-			seen[s.Group] = true
-			groups = append(groups, s.Group)
-		}
-	}
-	slices.SortFunc(groups, func(a, b Group) int {
-		if a.Zone != b.Zone {
-			return strings.Compare(a.Zone, b.Zone)
-		}
-		return a.Number - b.Number
-	})
-	return groups
-}
-
 var zoneChart = pollenchart.MustLoad("zone")
 
 // traitTakesWork marks the states of the zone's chart in which new work may go there.
@@ -210,3 +194,21 @@
 	}
 	return snapshot
 }
+
+func (t *Table) occupiedGroups() []Group {
+	seen := make(map[Group]bool)
+	var groups []Group
+	for _, s := range t.Servers {
+		if !seen[s.Group] {
+			seen[s.Group] = true
+			groups = append(groups, s.Group)
+		}
+	}
+	slices.SortFunc(groups, func(a, b Group) int {
+		if a.Zone != b.Zone {
+			return strings.Compare(a.Zone, b.Zone)
+		}
+		return a.Number - b.Number
+	})
+	return groups
+}
--- /dev/null
+++ b/pollenctl/doc.go
@@ -0,0 +1,2 @@
+// Command pollenctl is the command line of operators and callers.
+package main
--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	logger := pollenlog.Setup(os.Stderr, "pollenentry", settings.Name)
-	return polleninstance.New(settings, logger).Run(pollencommand.UntilSignal(ctx))
+	return polleninstance.New(polleninstance.Dial(settings, logger)).Run(pollencommand.UntilSignal(ctx))
 }
 
 func check(file string) error {
--- /dev/null
+++ b/pollenload/doc.go
@@ -0,0 +1,2 @@
+// Command pollenload sends load, records traces and replays them.
+package main
--- a/pollenload/main.go
+++ b/pollenload/main.go
@@ -1,3 +1,87 @@
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"pollenline.example/pollen/pollencaller"
+	"pollenline.example/pollen/pollencommand"
+	"pollenline.example/pollen/pollenfirm"
+	"pollenline.example/pollen/pollentraffic"
+)
+
+// runOptions are the flags of the run command.
+type runOptions struct {
+	addresses string
+	firm      string
+	rate      float64
+	actions   float64
+	duration  time.Duration
+	timeout   time.Duration
+	seed      uint64
+}
+
+func main() {
+	o := &runOptions{}
+	os.Exit(pollencommand.Main(
+		&pollencommand.Command{
+			CommandName: "run", Summary: "send a firm's requests at a rate and print what comes back",
+			Help: "run -addresses LIST -firm NAME [-rate NUMBER] [-duration TIME]\n\n" +
+				"The rate does not wait for answers; times count from when a request was due.",
+			Flags: o.flags,
+			Run:   func(ctx context.Context, _ []string) error { return o.run(ctx) },
+		},
+	))
+}
+
+func (o *runOptions) flags(f *flag.FlagSet) {
+	f.StringVar(&o.addresses, "addresses", "", "callers' addresses of instances, as a `list` with commas")
+	f.StringVar(&o.firm, "firm", "vunivalu", "firm whose services are asked: vunivalu or dunhlyja")
+	f.Float64Var(&o.rate, "rate", 100, "requests a second")
+	f.Float64Var(&o.actions, "actions", 0, "share of actions among the requests")
+	f.DurationVar(&o.duration, "duration", 10*time.Second, "how long requests are sent")
+	f.DurationVar(&o.timeout, "timeout", 2*time.Second, "timeout of each request")
+	f.Uint64Var(&o.seed, "seed", 1, "seed of the requests")
+}
+
+func (o *runOptions) run(ctx context.Context) error {
+	firm, err := pollenfirm.ByName(o.firm)
+	if err != nil {
+		return &pollencommand.UsageError{Problem: "flag -firm", Err: err}
+	}
+	addresses, err := parseAddresses(o.addresses)
+	if err != nil {
+		return err
+	}
+	callers := make(map[string]pollentraffic.Doer)
+	for n, family := range firm.Families {
+		callers[family.Name] = pollencaller.New(pollencaller.Config{
+			Name: family.Name, Zone: firm.Zones[n%len(firm.Zones)], Addresses: addresses,
+		})
+	}
+	generator := pollentraffic.NewGenerator(pollentraffic.Config{
+		Firm: firm, Callers: callers, Rate: o.rate, ActionShare: o.actions, Timeout: o.timeout, Seed: o.seed,
+	})
+	generator.Run(ctx, o.duration)
+	if err := generator.Tally().Print(os.Stdout); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	return nil
+}
+
+func parseAddresses(list string) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for text := range strings.SplitSeq(list, ",") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, &pollencommand.UsageError{Problem: "flag -addresses", Err: err}
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
