Prove the ten invariants by randomised runs in virtual time

Cause: the invariants were asserted but nothing brought failures about.

Change: trials run whole instances, put together as the program does it, against fakes of the store, the peers' calls, the backend servers and the actor's thread. Ten tests draw plans of failures with rapid; judges read the servers' ledgers and the published partition maps.

Found on the way and mended: a listing from the store may be an old read and must not count as fresh; an instance whose record is gone but that still answers must acknowledge changes; the first request after idleness goes alone, because the server may have started anew.

--- a/pollen/pollencontrol/core.go
+++ b/pollen/pollencontrol/core.go
@@ -317,5 +317,20 @@
 		}
 		instances = append(instances, i)
 	}
+	return append(instances, c.unrecorded()...)
+}
+
+// unrecorded returns instances whose record is gone but that still answer: they get no new work, but must have
+// changes in force and answer for their incarnation.
+func (c *Core) unrecorded() []pollenroute.Instance {
+	var instances []pollenroute.Instance
+	for name, p := range c.peers {
+		if _, stands := c.records[name]; stands || p.silent() {
+			continue
+		}
+		i := p.instance
+		i.Listed, i.Claims = false, false
+		instances = append(instances, i)
+	}
 	return instances
 }
--- a/pollen/pollencontrol/follow.go
+++ b/pollen/pollencontrol/follow.go
@@ -99,22 +99,23 @@
 		return
 	}
 	f.failed = ""
-	defer c.hear(m)
 	if m.whole {
 		if c.config.Replica.Reset(m.listing) {
 			c.takeListing()
 		}
 		c.replicaRead = c.replicaRead || m.source == storeSource
+		c.tickFollow()
 		return
 	}
 	c.takeEvents(c.config.Replica.Apply(m.changes))
+	c.hear(m)
 	c.tickFollow()
 }
 
 // hear moves the time up to which the replica is known to be complete.
 //
 // It counts from when the source was asked: an answer that lay in a socket while this process was paused proves
-// nothing about the time since.
+// nothing about the time since. Listings do not count, because the store may serve old reads; a watch follows.
 func (c *Core) hear(m followed) {
 	if c.replicaRead && m.fresh.After(c.freshAt) {
 		c.freshAt = m.fresh
--- a/pollen/pollenfakeserver/server.go
+++ b/pollen/pollenfakeserver/server.go
@@ -56,9 +56,12 @@
 	Runs map[string]int
 	// Peak is the most requests that ran at once.
 	Peak int
-	// Overloads counts how often the server was given more than it could bear, and toppled.
+	// Overloads counts how often the server was given more than it could bear, and toppled, although it had shown
+	// that it was cold or had been idle.
 	Overloads int
-	Sheds     int
+	// Unsignalled counts the other times: the cold start could not be known yet.
+	Unsignalled int
+	Sheds       int
 	// LastWork is when the server was last given a request.
 	LastWork time.Time
 	Boots    int
@@ -78,8 +81,19 @@
 	bootID  string
 	warmAt  time.Time
 	toppled chan struct{}
+	// signAt is when the newest start could first be known: a broken request or an answer with the new boot id.
+	signAt time.Time
+	// busyAt is when the server last had work before the newest start.
+	busyAt time.Time
 }
 
+// SignTime is what a sign of a cold start may take to arrive, and IdleTime is the idleness after which a sender
+// must expect a cold start without a sign.
+const (
+	SignTime = 10 * time.Millisecond
+	IdleTime = 500 * time.Millisecond
+)
+
 // ErrBroken is returned where a real server would break the connection.
 var ErrBroken = errors.New("connection broken")
 
@@ -145,8 +159,8 @@
 }
 
 // Row returns the row that every server answers for a shard.
-func Row(service, snapshot, shard string) []byte {
-	return fmt.Appendf(nil, "%s|%s|%s", service, snapshot, shard)
+func Row(service, snapshot, shard string, payload []byte) []byte {
+	return fmt.Appendf(nil, "%s|%s|%s|%s", service, snapshot, shard, payload)
 }
 
 // work is one request that is running.
@@ -161,6 +175,10 @@
 	if s.toppled != nil {
 		close(s.toppled)
 	}
+	s.signAt, s.busyAt = time.Time{}, s.ledger.LastWork
+	if s.running > 0 {
+		s.signAt, s.busyAt = time.Now(), time.Now()
+	}
 	s.toppled = make(chan struct{})
 	s.ledger.Boots++
 	s.ledger.BootedAt = time.Now()
@@ -200,7 +218,7 @@
 	case slices.Contains(s.faults.Missing, request.Snapshot):
 		return refuse(pollenbackend.RefusalSnapshot)
 	case s.running >= s.bearableLocked() && s.coldLocked() > 0:
-		s.ledger.Overloads++
+		s.overloadLocked()
 		s.bootLocked()
 		return nil, nil, ErrBroken
 	case s.running >= s.config.Slots:
@@ -218,6 +236,18 @@
 	return nil, &work{duration: s.durationLocked(request), faults: s.faults, bootID: s.bootID, toppled: s.toppled}, nil
 }
 
+// overloadLocked counts an overload, apart when the sender could not know of the cold start.
+func (s *Server) overloadLocked() {
+	now := time.Now()
+	signalled := !s.signAt.IsZero() && now.Sub(s.signAt) > SignTime
+	idle := s.ledger.BootedAt.Sub(s.busyAt) > IdleTime
+	if signalled || idle {
+		s.ledger.Overloads++
+		return
+	}
+	s.ledger.Unsignalled++
+}
+
 func (s *Server) durationLocked(request *pollenbackend.Request) time.Duration {
 	base := s.config.ServiceTime + time.Duration(len(request.Shards))*s.config.ShardTime
 	factor := 1 + max(0, s.config.ColdFactor-1)*s.coldLocked()
@@ -233,6 +263,9 @@
 	defer s.mu.Unlock()
 	if w.bootID == s.bootID {
 		s.running--
+		if s.signAt.IsZero() {
+			s.signAt = time.Now()
+		}
 	}
 }
 
@@ -243,7 +276,7 @@
 		if slices.Contains(w.faults.LostShards, shard) {
 			answer.State = pollenmessage.ShardLost
 		} else {
-			answer.Rows = [][]byte{Row(request.Service, request.Snapshot, shard)}
+			answer.Rows = [][]byte{Row(request.Service, request.Snapshot, shard, request.Payload)}
 		}
 		a.Shards = append(a.Shards, answer)
 	}
--- a/pollen/pollenfakestore/store.go
+++ b/pollen/pollenfakestore/store.go
@@ -13,7 +13,7 @@
 
 // Faults are the troubles that a store can be put into.
 type Faults struct {
-	// Down refuses every call after its effect would have been decided: nothing takes place.
+	// Down fails every call, and nothing takes place.
 	Down bool
 	// LoseAnswers carries out writes and fails the call all the same.
 	LoseAnswers bool
@@ -35,6 +35,14 @@
 	faults   Faults
 	stale    *pollenstore.Listing
 	calls    map[string]int
+	observe  func(pollenstore.Event)
+}
+
+// Observe makes a function be told of every write that takes effect.
+func (s *Store) Observe(observe func(pollenstore.Event)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = observe
 }
 
 // New returns an empty store.
@@ -299,6 +307,9 @@
 }
 
 func (s *Store) publishLocked(event pollenstore.Event) {
+	if s.observe != nil {
+		s.observe(event)
+	}
 	s.events = append(s.events, event)
 	if len(s.events) > maximumEvents {
 		drop := len(s.events) / 2
--- a/pollen/pollenlimit/line.go
+++ b/pollen/pollenlimit/line.go
@@ -79,6 +79,8 @@
 	ramp       ramp
 	bootID     string
 	lastUrgent time.Time
+	// lastAnswer is when the server last gave a whole answer.
+	lastAnswer time.Time
 	failures   int
 	retryAt    time.Time
 }
@@ -164,6 +166,8 @@
 const (
 	// maximumQueuePerSlot bounds the queue of a line.
 	maximumQueuePerSlot = 32
+	// idleTime without an answer makes the next request a trial of the server.
+	idleTime = 300 * time.Millisecond
 	// urgentMemory is how long a slot stays reserved after urgent work was seen.
 	urgentMemory = time.Second
 	// progressFactor is in multiples of the server's median answer time.
@@ -214,7 +218,9 @@
 // allowedLocked returns how many requests may be in flight.
 func (l *Line) allowedLocked(mode Mode) int {
 	full := 1
-	if l.machine.Has(traitTakesFullLimit) || l.machine.Has(traitRamps) {
+	// After some idleness the first request goes alone: the server may have started anew without a sign.
+	heard := time.Since(l.lastAnswer) < idleTime
+	if heard && (l.machine.Has(traitTakesFullLimit) || l.machine.Has(traitRamps)) {
 		full = l.limit
 	}
 	switch {
--- a/pollen/pollenlimit/permit.go
+++ b/pollen/pollenlimit/permit.go
@@ -91,6 +91,7 @@
 
 func (l *Line) answeredLocked(latency time.Duration) {
 	l.failures = 0
+	l.lastAnswer = time.Now()
 	l.fireLocked("Answered", "first answer")
 	l.ramp.add(latency)
 	if l.ramp.slowBurst() {
--- /dev/null
+++ b/pollen/pollentrial/invariant_test.go
@@ -0,0 +1,136 @@
+package pollentrial_test
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+	"pgregory.net/rapid"
+
+	"pollenline.example/pollen/pollentrial"
+)
+
+// proof is a randomised test of one invariant.
+type proof struct {
+	config pollentrial.Config
+	load   pollentrial.Load
+	// menu are the failures that plans are drawn from; each must be met at least once.
+	menu []pollentrial.Fault
+	// longest is how long a failure lasts at most.
+	longest time.Duration
+	drive   time.Duration
+	// steps is the number of failures in one plan.
+	steps int
+	// met are failures that come with the load rather than from the menu.
+	met []pollentrial.Fault
+	// watch, if set, is called before the load begins; what it returns judges what it saw.
+	watch func(t *pollentrial.Trial) func() []string
+	judge func(t *pollentrial.Trial) []string
+}
+
+const (
+	settleTime  = 12 * time.Second
+	maximumStep = 3000
+	minimumFor  = 100
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	setDefault("rapid.seed", "1")
+	setDefault("rapid.checks", "6")
+	setDefault("rapid.shrinktime", "20s")
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// setDefault sets a flag that the command line has not set.
+func setDefault(name, value string) {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+	if !given {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// prove runs plans of failures and fails on the first problem that the judges find.
+func prove(t *testing.T, p proof) {
+	t.Helper()
+	met := make(map[pollentrial.Fault]int)
+	steps := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := drawPlan(rt, p)
+		config := p.config
+		config.Seed = rapid.Uint64().Draw(rt, "seed")
+		var problems []string
+		synctest.Test(t, func(*testing.T) {
+			problems = run(config, p, plan, met)
+		})
+		steps += len(plan)
+		if len(problems) > 0 {
+			rt.Fatalf("%d problems, first: %s", len(problems), problems[0])
+		}
+	})
+	total := 0
+	for _, fault := range append(append([]pollentrial.Fault(nil), p.menu...), p.met...) {
+		total += met[fault]
+		if met[fault] == 0 && !t.Failed() {
+			t.Errorf("failure %s was never met", fault)
+		}
+	}
+	t.Logf("Steps=%d Faults=%d %v", steps, total, met)
+}
+
+func drawPlan(rt *rapid.T, p proof) []pollentrial.Step {
+	longest := int(p.longest / time.Millisecond)
+	step := rapid.Custom(func(rt *rapid.T) pollentrial.Step {
+		// Rapid prefers small numbers; half of the failures are to be long ones.
+		shortest := rapid.SampledFrom([]int{minimumFor, longest / 2}).Draw(rt, "shortest")
+		return pollentrial.Step{
+			Fault:  rapid.SampledFrom(p.menu).Draw(rt, "fault"),
+			Target: rapid.IntRange(0, 1000).Draw(rt, "target"),
+			After:  time.Duration(rapid.IntRange(0, maximumStep).Draw(rt, "after")) * time.Millisecond,
+			For:    time.Duration(rapid.IntRange(shortest, longest).Draw(rt, "for")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(step, p.steps, p.steps).Draw(rt, "plan")
+}
+
+func run(config pollentrial.Config, p proof, plan []pollentrial.Step, met map[pollentrial.Fault]int) []string {
+	trial := pollentrial.Start(config)
+	defer trial.End()
+	watched := func() []string { return nil }
+	if p.watch != nil {
+		watched = p.watch(trial)
+	}
+	done := make(chan struct{})
+	go func() {
+		trial.Play(plan)
+		close(done)
+	}()
+	trial.Drive(p.load, p.drive)
+	<-done
+	time.Sleep(settleTime)
+	problems := append(watched(), p.judge(trial)...)
+	for fault, n := range trial.Faults() {
+		met[fault] += n
+	}
+	for _, v := range trial.Violations() {
+		problems = append(problems, v.Error())
+	}
+	if len(trial.Results()) == 0 {
+		problems = append(problems, "no request was answered")
+	}
+	return problems
+}
+
+func problem(format string, arguments ...any) string {
+	return fmt.Sprintf(format, arguments...)
+}
