Tell a changed configuration to instances that the store does not know

Cause: an accepted change was not in force on an instance that had lost its record (cut off from the store) or never had one (started in an outage): the instance that awaited acknowledgements did not know of it.

Change: instances without a record are awaited until they acknowledge or their table is too old to serve from; a ping carries the sender, so that unknown instances become known. Sources that failed are passed over for a second. In fleets above 16 an instance pings 8 others instead of all.

The ramp no longer learns a baseline from a window above the one before, lowers it when answers are faster, and counts requests given up far above it.

--- a/pollen/pollencontrol/apply.go
+++ b/pollen/pollencontrol/apply.go
@@ -191,12 +191,13 @@
 	ctx, cancel := context.WithTimeout(ctx, AcceptTime)
 	defer cancel()
 	applied := Applied{Revision: revision}
+	stored := time.Now()
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	table := a.Table()
 	for _, i := range table.Instances {
 		group.Go(func() {
-			if !a.reached(ctx, table.Self, i, revision) {
+			if !a.reached(ctx, table.Self, i, revision, stored) {
 				mu.Lock()
 				defer mu.Unlock()
 				applied.WaitingFor = append(applied.WaitingFor, i.Name)
@@ -208,7 +209,8 @@
 	return applied
 }
 
-func (a *Applier) reached(ctx context.Context, self, i pollenroute.Instance, revision uint64) bool {
+// reached waits until an instance has the revision in force, or cannot serve an older one any longer.
+func (a *Applier) reached(ctx context.Context, self, i pollenroute.Instance, revision uint64, stored time.Time) bool {
 	if i.Incarnation == self.Incarnation {
 		return a.InForce(ctx, revision) >= revision
 	}
@@ -217,6 +219,10 @@
 		if err == nil && reply.Revision >= revision {
 			return true
 		}
+		if err != nil && i.Unrecorded && time.Since(stored) > isolationTime {
+			// It is cut off, and its own table has become too old to serve from.
+			return true
+		}
 		if current, live := a.Table().ByIncarnation(i.Incarnation); !live || current.Name != i.Name {
 			// An instance that is gone has nothing in force, and its successor reads the head before it serves.
 			return true
--- a/pollen/pollencontrol/core.go
+++ b/pollen/pollencontrol/core.go
@@ -98,6 +98,7 @@
 		owners:        make(map[pollenroute.Group]ownerState),
 		records:       make(map[string]Record),
 		peers:         make(map[string]*peerState),
+		follow:        followState{failed: make(map[string]time.Time)},
 		configuration: pollenconfig.Empty(),
 		startedAt:     time.Now(),
 	}
@@ -115,6 +116,11 @@
 // Stop is the message that asks for a graceful shutdown.
 type Stop struct{}
 
+// Contact is the message that an instance without a record in the replica has called.
+type Contact struct {
+	Instance pollenroute.Instance
+}
+
 // Unreferenced is the message that no caller may have this instance's address any longer.
 type Unreferenced struct{}
 
@@ -143,6 +149,8 @@
 		c.released(m)
 	case pinged:
 		c.pinged(m)
+	case Contact:
+		c.contact(m)
 	case Stop:
 		c.stop()
 	case Unreferenced:
@@ -320,16 +328,19 @@
 	return append(instances, c.unrecorded()...)
 }
 
-// unrecorded returns instances whose record is gone but that still answer: they get no new work, but must have
+// unrecorded returns instances whose record is gone but that may still serve: they get no new work, but must have
 // changes in force and answer for their incarnation.
 func (c *Core) unrecorded() []pollenroute.Instance {
 	var instances []pollenroute.Instance
 	for name, p := range c.peers {
-		if _, stands := c.records[name]; stands || p.silent() {
+		if _, stands := c.records[name]; stands {
+			continue
+		}
+		if p.silent() && (p.leaving || time.Since(p.gone) > isolationTime) {
 			continue
 		}
 		i := p.instance
-		i.Listed, i.Claims = false, false
+		i.Listed, i.Claims, i.Unrecorded = false, false, true
 		instances = append(instances, i)
 	}
 	return instances
--- a/pollen/pollencontrol/follow.go
+++ b/pollen/pollencontrol/follow.go
@@ -21,18 +21,26 @@
 	watchersPerZone = 2
 	watchWait       = 500 * time.Millisecond
 	// followRetryTime is the pause after a failed watch.
-	followRetryTime = 100 * time.Millisecond
+	followRetryTime = 50 * time.Millisecond
+	// avoidTime is how long a source that failed is passed over, while there are others.
+	avoidTime = time.Second
 )
 
 // followState is where this instance takes its copy of the store's keys from.
 type followState struct {
 	busy    bool
 	nextTry time.Time
-	// failed is the source that failed last, passed over once.
-	failed string
+	// failed says when sources failed; they are passed over for avoidTime.
+	failed map[string]time.Time
 	source string
 }
 
+// passed reports whether a source failed lately.
+func (f *followState) passed(source string) bool {
+	at, ok := f.failed[source]
+	return ok && time.Since(at) < avoidTime
+}
+
 // followed is the result of following a source once.
 type followed struct {
 	source string
@@ -94,11 +102,11 @@
 	f := &c.follow
 	f.busy = false
 	if m.err != nil {
-		f.failed = m.source
+		f.failed[m.source] = time.Now()
 		f.nextTry = time.Now().Add(followRetryTime)
 		return
 	}
-	f.failed = ""
+	delete(f.failed, m.source)
 	if m.whole {
 		if c.config.Replica.Reset(m.listing) {
 			c.takeListing()
@@ -127,12 +135,12 @@
 func (c *Core) chooseSource() (string, pollenroute.Instance) {
 	watchers := c.watchers()
 	self := slices.Contains(watchers, c.config.Self.Name)
-	if c.follow.failed != storeSource && (self || len(watchers) == 0 || !c.replicaRead) {
+	if !c.follow.passed(storeSource) && (self || len(watchers) == 0 || !c.replicaRead) {
 		return storeSource, pollenroute.Instance{}
 	}
 	var best *peerState
 	for name, p := range c.peers {
-		if p.silent() || name == c.follow.failed {
+		if p.silent() || c.follow.passed(name) {
 			continue
 		}
 		if best == nil || c.sourceRank(name, p, watchers) > c.sourceRank(best.instance.Name, best, watchers) {
@@ -142,7 +150,7 @@
 	if best != nil {
 		return best.instance.Name, best.instance
 	}
-	if seed, ok := c.seed(); ok && c.follow.failed == storeSource {
+	if seed, ok := c.seed(); ok && c.follow.passed(storeSource) {
 		return seed.Name, seed
 	}
 	return storeSource, pollenroute.Instance{}
--- a/pollen/pollencontrol/peers.go
+++ b/pollen/pollencontrol/peers.go
@@ -1,11 +1,15 @@
 package pollencontrol
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pollenline.example/pollen/pollenevent"
 	"pollenline.example/pollen/pollenpeer"
 	"pollenline.example/pollen/pollenroute"
@@ -21,6 +25,10 @@
 	isolationTime = 4 * time.Second
 	// forgetTime after its record is gone, a peer is no longer pinged.
 	forgetTime = 30 * time.Second
+	// Fleets of up to smallFleet instances ping each other; in larger ones each pings sampleSize others, so that
+	// what an instance sends does not grow with the fleet.
+	smallFleet = 16
+	sampleSize = 8
 )
 
 // peerState is what this instance knows of another.
@@ -28,8 +36,10 @@
 	instance pollenroute.Instance
 	heard    time.Time
 	// gone is when its record went away, zero while it stands.
-	gone          time.Time
-	notedSilent   bool
+	gone        time.Time
+	notedSilent bool
+	// sampled is set for the peers that this instance pings.
+	sampled       bool
 	busy          bool
 	nextPing      time.Time
 	leaving       bool
@@ -37,7 +47,8 @@
 	revision      uint64
 }
 
-func (p *peerState) silent() bool { return time.Since(p.heard) > PeerSilentTime }
+// silent reports whether the peer should have answered and has not; one that is not pinged is never silent.
+func (p *peerState) silent() bool { return p.sampled && time.Since(p.heard) > PeerSilentTime }
 
 // pinged is the result of a ping.
 type pinged struct {
@@ -69,15 +80,49 @@
 	}
 	p, known := c.peers[name]
 	if !known || p.instance.Incarnation != record.Incarnation {
-		p = &peerState{heard: time.Now()}
-		c.peers[name] = p
-		c.config.Log.Add(pollenevent.KindInstanceJoined, name, "incarnation "+record.Incarnation)
+		p = c.addPeer(name, record.Incarnation)
 	}
 	p.instance = record.instance()
 	p.gone = time.Time{}
 	p.leaving = record.Leaving
 }
 
+// contact takes in an instance that called and has no record that this one knows.
+func (c *Core) contact(m Contact) {
+	p, known := c.peers[m.Instance.Name]
+	if known && (p.gone.IsZero() || p.instance.Incarnation == m.Instance.Incarnation) {
+		return
+	}
+	p = c.addPeer(m.Instance.Name, m.Instance.Incarnation)
+	p.instance = m.Instance
+	p.gone = time.Now()
+	c.dirty = true
+}
+
+func (c *Core) addPeer(name, incarnation string) *peerState {
+	p := &peerState{heard: time.Now()}
+	c.peers[name] = p
+	c.sample()
+	c.config.Log.Add(pollenevent.KindInstanceJoined, name, "incarnation "+incarnation)
+	return p
+}
+
+// sample chooses the peers that this instance pings: those that follow it on a ring of hashed names.
+func (c *Core) sample() {
+	self := xxhash.Sum64String(c.config.Self.Name)
+	names := slices.Collect(maps.Keys(c.peers))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(a)-self, xxhash.Sum64String(b)-self)
+	})
+	size := len(names)
+	if size > smallFleet {
+		size = sampleSize
+	}
+	for n, name := range names {
+		c.peers[name].sampled = n < size
+	}
+}
+
 // takeOwnRecord notices that the record stands, or that another process has taken this instance's name.
 func (c *Core) takeOwnRecord(record Record, event pollenstore.Event) {
 	if record.Incarnation != c.config.Self.Incarnation {
@@ -92,14 +137,15 @@
 
 func (c *Core) tickPeers() {
 	now := time.Now()
-	request := pollenpeer.PingRequest{From: c.config.Self.Name}
+	request := pollenpeer.PingRequest{From: c.self()}
 	for name, p := range c.peers {
 		if !p.gone.IsZero() && now.Sub(p.gone) > forgetTime {
 			delete(c.peers, name)
+			c.sample()
 			continue
 		}
 		c.noteSilence(name, p)
-		if p.busy || now.Before(p.nextPing) {
+		if !p.sampled || p.busy || now.Before(p.nextPing) {
 			continue
 		}
 		p.busy = true
@@ -154,7 +200,7 @@
 func (c *Core) heardUntil() (until time.Time, any bool) {
 	var heard []time.Time
 	for name, p := range c.peers {
-		if _, stands := c.records[name]; stands || !p.silent() {
+		if _, stands := c.records[name]; p.sampled && (stands || !p.silent()) {
 			heard = append(heard, p.heard)
 		}
 	}
@@ -168,7 +214,7 @@
 // behind reports whether a peer that was heard has seen more of the store than this instance.
 func (c *Core) behind() bool {
 	for _, p := range c.peers {
-		if !p.silent() && p.storeRevision > c.config.Replica.Revision() {
+		if p.sampled && !p.silent() && p.storeRevision > c.config.Replica.Revision() {
 			return true
 		}
 	}
--- a/pollen/pollenedge/operator.go
+++ b/pollen/pollenedge/operator.go
@@ -123,7 +123,7 @@
 	if i.Incarnation != table.Self.Incarnation {
 		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 		defer cancel()
-		reply, err = o.config.Peers.Ping(ctx, i, pollenpeer.PingRequest{From: table.Self.Name})
+		reply, err = o.config.Peers.Ping(ctx, i, pollenpeer.PingRequest{From: table.Self})
 	}
 	if err != nil {
 		return status
--- a/pollen/pollenfakeserver/server.go
+++ b/pollen/pollenfakeserver/server.go
@@ -59,6 +59,8 @@
 	// Overloads counts how often the server was given more than it could bear, and toppled, although it had shown
 	// that it was cold or had been idle.
 	Overloads int
+	// OverloadedAt is when the last overload was counted.
+	OverloadedAt time.Time
 	// Unsignalled counts the other times: the cold start could not be known yet.
 	Unsignalled int
 	Sheds       int
@@ -152,12 +154,22 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	s.sign(work)
 	if work.faults.LoseAnswers {
 		return nil, ErrBroken
 	}
 	return s.answer(request, work), nil
 }
 
+// sign notes that the sender now learns which start of the server it speaks to; a cancelled request tells nothing.
+func (s *Server) sign(w *work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.bootID == s.bootID && s.signAt.IsZero() {
+		s.signAt = time.Now()
+	}
+}
+
 // Row returns the row that every server answers for a shard.
 func Row(service, snapshot, shard string, payload []byte) []byte {
 	return fmt.Appendf(nil, "%s|%s|%s|%s", service, snapshot, shard, payload)
@@ -243,6 +255,7 @@
 	idle := s.ledger.BootedAt.Sub(s.busyAt) > IdleTime
 	if signalled || idle {
 		s.ledger.Overloads++
+		s.ledger.OverloadedAt = now
 		return
 	}
 	s.ledger.Unsignalled++
@@ -263,9 +276,6 @@
 	defer s.mu.Unlock()
 	if w.bootID == s.bootID {
 		s.running--
-		if s.signAt.IsZero() {
-			s.signAt = time.Now()
-		}
 	}
 }
 
--- a/pollen/polleninstance/run.go
+++ b/pollen/polleninstance/run.go
@@ -176,7 +176,10 @@
 }
 
 // Ping implements pollenpeer.Handler.
-func (h *peerHandler) Ping(pollenpeer.PingRequest) pollenpeer.PingReply {
+func (h *peerHandler) Ping(request pollenpeer.PingRequest) pollenpeer.PingReply {
+	if _, known := h.instance.Table().ByIncarnation(request.From.Incarnation); !known {
+		h.instance.Post(pollencontrol.Contact{Instance: request.From})
+	}
 	return h.instance.status()
 }
 
--- a/pollen/pollenlimit/permit.go
+++ b/pollen/pollenlimit/permit.go
@@ -22,7 +22,7 @@
 	SignSilent
 	// SignFresh is an answer on a fresh connection after another went silent.
 	SignFresh
-	// SignNothing is a request that shows nothing, such as a cancelled one.
+	// SignNothing is a request that ended without an answer for a reason of its sender, after Observation.Latency.
 	SignNothing
 )
 
@@ -75,6 +75,8 @@
 	switch o.Sign {
 	case SignAnswered:
 		l.answeredLocked(o.Latency)
+	case SignNothing:
+		l.abandonedLocked(o.Latency)
 	case SignShed:
 		l.fireLocked("Shed", "server shed a request")
 	case SignConnectionLost:
@@ -110,6 +112,17 @@
 	}
 }
 
+// abandonedLocked counts a request that was cancelled because it was much slower than usual.
+func (l *Line) abandonedLocked(age time.Duration) {
+	if age <= burstFactor*l.ramp.baseline {
+		return
+	}
+	l.ramp.addSlow(age)
+	if l.ramp.slowBurst() {
+		l.fireLocked("SlowBurst", fmt.Sprintf("requests given up far above %v", l.ramp.baseline))
+	}
+}
+
 // fireLocked fires an event of the server's chart; a state that neither ramps nor is warm starts from one.
 func (l *Line) fireLocked(event, cause string) {
 	from, to, changed := l.machine.Fire(event)
--- a/pollen/pollenlimit/ramp.go
+++ b/pollen/pollenlimit/ramp.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// addSlow takes in a request that was given up after a time without an answer.
+func (r *ramp) addSlow(age time.Duration) {
+	r.recent[r.next] = age
+	r.next = (r.next + 1) % burstWindow
+}
+
 // settled closes a full window and reports whether answer times no longer fall.
 func (r *ramp) settled(now time.Time) bool {
 	if len(r.window) < windowSamples || now.Sub(r.opened) < windowTime {
@@ -69,6 +75,7 @@
 	current := median(r.window)
 	r.window = r.window[:0]
 	if r.warm {
+		r.baseline = min(r.baseline, current)
 		return current*100 <= r.baseline*nearPercent
 	}
 	steady := r.steady(now, current)
@@ -96,7 +103,7 @@
 		}
 		r.closed = r.closed[1:]
 	}
-	return reference > 0 && current*100 >= reference*steadyPercent
+	return reference > 0 && current*100 >= reference*steadyPercent && current*100 <= reference*nearPercent
 }
 
 // slowBurst reports whether most of the newest answers are far above the warm baseline.
--- a/pollen/pollenowner/send.go
+++ b/pollen/pollenowner/send.go
@@ -119,7 +119,7 @@
 		o.config.Metrics.garbled(q)
 		return withSend(q.Unknown(pollenschema.Reason_REASON_GARBLED, err.Error()))
 	case cancelled:
-		permit.Finish(pollenlimit.Observation{Sign: pollenlimit.SignNothing})
+		permit.Finish(pollenlimit.Observation{Sign: pollenlimit.SignNothing, Latency: time.Since(permit.Started())})
 		return withSend(q.Unknown(pollenschema.Reason_REASON_DEADLINE, "no answer in time"))
 	}
 	permit.Finish(pollenlimit.Observation{Sign: pollenlimit.SignConnectionLost})
--- a/pollen/pollenpeer/messages.go
+++ b/pollen/pollenpeer/messages.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"pollenline.example/pollen/pollenmessage"
+	"pollenline.example/pollen/pollenroute"
 	"pollenline.example/pollen/pollenstore"
 )
 
 // PingRequest tells another instance that this one lives.
 type PingRequest struct {
-	From string
+	// From may be unknown to the receiver, as when it started while the store was down.
+	From pollenroute.Instance
 }
 
 // PingReply tells what an instance has in force.
--- a/pollen/pollenroute/table.go
+++ b/pollen/pollenroute/table.go
@@ -22,6 +22,8 @@
 	Listed bool
 	// Claims is set while it may own groups.
 	Claims bool
+	// Unrecorded is set when its record is gone from the store; it may have ended or be cut off.
+	Unrecorded bool
 }
 
 // Server is a backend server with the group it belongs to.
--- a/pollen/pollentrial/work_test.go
+++ b/pollen/pollentrial/work_test.go
@@ -1,6 +1,7 @@
 package pollentrial_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -81,7 +82,7 @@
 	var problems []string
 	for name, server := range trial.Servers {
 		if ledger := server.Ledger(); ledger.Overloads > 0 {
-			problems = append(problems, problem("%s was overloaded %d times in a cold start", name, ledger.Overloads))
+			problems = append(problems, problem("%s was overloaded %d times in a cold start, after %s", name, ledger.Overloads, lastSends(trial, name, ledger.OverloadedAt)))
 		}
 	}
 	for _, r := range trial.Results() {
@@ -92,6 +93,17 @@
 	return problems
 }
 
+// lastSends lists the newest requests to a server before a moment.
+func lastSends(trial *pollentrial.Trial, server string, before time.Time) string {
+	var lines []string
+	for _, s := range trial.Sends() {
+		if s.Server == server && !s.Time.After(before) {
+			lines = append(lines, problem("%v by %s", s.Time.Sub(before), s.Node.Name))
+		}
+	}
+	return strings.Join(lines[max(0, len(lines)-8):], ", ")
+}
+
 // window is a time in which something must get no new work.
 type window struct {
 	subject  string
