--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 FIRM ?= vunivalu
 SECONDS ?= 60
 
-.PHONY: build test check demo proof generate
+.PHONY: build test check demo proof mutations generate
 
 build:
 	@mkdir -p bin
@@ -20,5 +20,13 @@
 demo: build
 	bin/pollenbench demo -programs bin -firm $(FIRM)
 
+proof:
+	@cd pollen && go test ./pollentrial -run TestInvariant -timeout 0 -proof.seconds=$$(($(SECONDS)/10)) -rapid.seed=$$(date +%s) -v > ../bin/proof.log 2>&1; \
+	status=$$?; grep '^Proof' ../bin/proof.log; \
+	[ $$status -eq 0 ] || grep -E 'first:|never met|panic:' ../bin/proof.log; exit $$status
+
+mutations:
+	scripts/mutations
+
 generate:
 	cd pollen && go run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate
--- a/pollen/pollentrial/fault.go
+++ b/pollen/pollentrial/fault.go
@@ -20,6 +20,7 @@
 	FaultPause          Fault = "Pause"
 	FaultCutNodes       Fault = "CutNodes"
 	FaultCutStore       Fault = "CutStore"
+	FaultIsolate        Fault = "Isolate"
 	FaultStoreDown      Fault = "StoreDown"
 	FaultStoreSlow      Fault = "StoreSlow"
 	FaultStoreLose      Fault = "StoreLose"
@@ -105,6 +106,9 @@
 	case FaultCutStore:
 		node.setCutStore(true)
 		t.during(step, func() { node.setCutStore(false) })
+	case FaultIsolate:
+		t.isolate(node, true)
+		t.during(step, func() { t.isolate(node, false) })
 	case FaultStoreDown, FaultStoreSlow, FaultStoreLose, FaultStoreStale:
 		t.Store.SetFaults(storeFaults[step.Fault])
 		t.during(step, func() { t.Store.SetFaults(pollenfakestore.Faults{}) })
@@ -150,6 +154,16 @@
 	t.startNode(n.number)
 }
 
+// isolate cuts a node off from the store and from all other nodes.
+func (t *Trial) isolate(n *Node, on bool) {
+	n.setCutStore(on)
+	for _, other := range t.Nodes() {
+		if other != n {
+			t.setCut(n, other, on)
+		}
+	}
+}
+
 func (n *Node) setCutStore(on bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/pollen/pollentrial/invariant_test.go
+++ b/pollen/pollentrial/invariant_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,13 +40,16 @@
 	settleTime  = 12 * time.Second
 	maximumStep = 3000
 	minimumFor  = 100
+	// seedStride keeps the seeds of rounds apart; rapid counts up from a seed.
+	seedStride = 1_000_003
 )
 
 func TestMain(m *testing.M) {
 	flag.Parse()
 	setDefault("rapid.seed", "1")
-	setDefault("rapid.checks", "6")
-	setDefault("rapid.shrinktime", "20s")
+	setDefault("rapid.checks", "10")
+	setDefault("rapid.shrinktime", "5s")
+	setDefault("rapid.nofailfile", "true")
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 	os.Exit(m.Run())
@@ -60,11 +66,37 @@
 	}
 }
 
-// prove runs plans of failures and fails on the first problem that the judges find.
+// proofSeconds is how long each proof goes on with fresh seeds; zero runs one round.
+var proofSeconds = flag.Int("proof.seconds", 0, "seconds that each proof goes on, with a new seed for each round")
+
+// prove runs rounds of plans of failures, fails on the first problem that the judges find, and prints one line.
 func prove(t *testing.T, p proof) {
 	t.Helper()
 	met := make(map[pollentrial.Fault]int)
 	steps := 0
+	first := flag.Lookup("rapid.seed").Value.String()
+	defer flag.Set("rapid.seed", first)
+	end := time.Now().Add(time.Duration(*proofSeconds) * time.Second)
+	for round := uint64(1); ; round++ {
+		steps += proveRound(t, p, met)
+		if t.Failed() || !time.Now().Before(end) {
+			break
+		}
+		seed, err := strconv.ParseUint(first, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := flag.Set("rapid.seed", strconv.FormatUint(seed+round*seedStride, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	report(t, p, first, steps, met)
+}
+
+// proveRound runs one round of plans and returns the number of failures that were planned.
+func proveRound(t *testing.T, p proof, met map[pollentrial.Fault]int) int {
+	t.Helper()
+	steps := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := drawPlan(rt, p)
 		config := p.config
@@ -78,14 +110,27 @@
 			rt.Fatalf("%d problems, first: %s", len(problems), problems[0])
 		}
 	})
+	return steps
+}
+
+// report prints the proof's line; a failure that was never met makes the proof fail.
+func report(t *testing.T, p proof, seed string, steps int, met map[pollentrial.Fault]int) {
+	t.Helper()
 	total := 0
-	for _, fault := range append(append([]pollentrial.Fault(nil), p.menu...), p.met...) {
-		total += met[fault]
+	for _, fault := range append(slices.Clone(p.menu), p.met...) {
 		if met[fault] == 0 && !t.Failed() {
-			t.Errorf("failure %s was never met", fault)
+			t.Errorf("%s was never met", fault)
 		}
 	}
-	t.Logf("Steps=%d Faults=%d %v", steps, total, met)
+	for _, fault := range slices.Compact(slices.Sorted(slices.Values(p.menu))) {
+		total += met[fault]
+	}
+	verdict := "Pass"
+	if t.Failed() {
+		verdict = "Fail"
+	}
+	fmt.Printf("Proof %s Seed=%s Steps=%d Faults=%d %s\n", strings.TrimPrefix(t.Name(), "TestInvariant"), seed, steps, total, verdict)
+	t.Logf("met: %v", met)
 }
 
 func drawPlan(rt *rapid.T, p proof) []pollentrial.Step {
--- a/pollen/pollentrial/once_test.go
+++ b/pollen/pollentrial/once_test.go
@@ -9,7 +9,7 @@
 )
 
 var onceMenu = []pollentrial.Fault{
-	pollentrial.FaultKill, pollentrial.FaultPause, pollentrial.FaultCutNodes, pollentrial.FaultCutStore, pollentrial.FaultStoreDown,
+	pollentrial.FaultKill, pollentrial.FaultPause, pollentrial.FaultCutNodes, pollentrial.FaultCutStore, pollentrial.FaultIsolate, pollentrial.FaultStoreDown,
 	pollentrial.FaultServerRestart, pollentrial.FaultServerDown, pollentrial.FaultServerLose, pollentrial.FaultServerGarble,
 	pollentrial.FaultServerStraggle, pollentrial.FaultSilent, pollentrial.FaultZoneOut,
 }
--- a/pollen/pollentrial/work_test.go
+++ b/pollen/pollentrial/work_test.go
@@ -13,7 +13,7 @@
 const inForceTime = 6 * time.Second
 
 var fleetMenu = []pollentrial.Fault{
-	pollentrial.FaultKill, pollentrial.FaultPause, pollentrial.FaultCutNodes, pollentrial.FaultCutStore,
+	pollentrial.FaultKill, pollentrial.FaultPause, pollentrial.FaultCutNodes, pollentrial.FaultCutStore, pollentrial.FaultIsolate,
 	pollentrial.FaultStoreDown, pollentrial.FaultStoreSlow, pollentrial.FaultStoreLose, pollentrial.FaultStoreStale,
 }
 
