Keep awaiting a peer that was heard until it must be stale

Cause: a change was accepted while a node served the revision before: its record had gone long before it was cut off from its peers, and the wait ended with the record.

Change: the wait ends when both the record and the last answer are older than the isolation time.

--- a/pollen/pollencontrol/core.go
+++ b/pollen/pollencontrol/core.go
@@ -336,7 +336,7 @@
 		if _, stands := c.records[name]; stands {
 			continue
 		}
-		if p.silent() && (p.leaving || time.Since(p.gone) > isolationTime) {
+		if p.silent() && (p.leaving || p.mustBeStale()) {
 			continue
 		}
 		i := p.instance
--- a/pollen/pollencontrol/peers.go
+++ b/pollen/pollencontrol/peers.go
@@ -50,6 +50,12 @@
 // silent reports whether the peer should have answered and has not; one that is not pinged is never silent.
 func (p *peerState) silent() bool { return p.sampled && time.Since(p.heard) > PeerSilentTime }
 
+// mustBeStale reports whether a peer without a record has been cut off for so long that its table is too old to
+// serve from: it was in touch with the store until its record went, and with its peers until it was last heard.
+func (p *peerState) mustBeStale() bool {
+	return time.Since(p.gone) > isolationTime && time.Since(p.heard) > isolationTime
+}
+
 // pinged is the result of a ping.
 type pinged struct {
 	name  string
