Await instances that are cut off before a change counts as accepted

Cause: plans that isolate a node found changes accepted while a node still served the revision before: its record had gone long before it was cut from its peers, or the accepting instance had just started in an outage and had never met it.

--- a/pollen/pollencontrol/apply.go
+++ b/pollen/pollencontrol/apply.go
@@ -33,6 +33,8 @@
 	InForce func(ctx context.Context, revision uint64) uint64
 	// Incarnation makes the keys of documents unique.
 	Incarnation string
+	// Started is when this instance started.
+	Started time.Time
 }
 
 // Applied tells how far a change has got.
@@ -205,10 +207,24 @@
 		})
 	}
 	group.Wait()
+	a.awaitStrangers(ctx, stored)
 	applied.Accepted = len(applied.WaitingFor) == 0
 	return applied
 }
 
+// awaitStrangers waits until instances that this one has not met yet cannot serve an older revision any longer.
+//
+// An instance that has just started may meet others whose records went in an outage of the store.
+func (a *Applier) awaitStrangers(ctx context.Context, stored time.Time) {
+	if stored.Sub(a.Started) > isolationTime+PeerSilentTime {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(stored.Add(isolationTime))):
+	}
+}
+
 // reached waits until an instance has the revision in force, or cannot serve an older one any longer.
 func (a *Applier) reached(ctx context.Context, self, i pollenroute.Instance, revision uint64, stored time.Time) bool {
 	if i.Incarnation == self.Incarnation {
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -194,7 +194,7 @@
 	i.operator = pollenedge.NewOperator(pollenedge.OperatorConfig{
 		Table: i.Table, Peers: i.config.Peers, Self: i.status, Configuration: i.configuration, Events: i.events, Traces: i.traces,
 		Applier: &pollencontrol.Applier{
-			Store: i.config.Store, Peers: i.config.Peers, Table: i.Table, InForce: i.inForce, Incarnation: self.Incarnation,
+			Store: i.config.Store, Peers: i.config.Peers, Table: i.Table, InForce: i.inForce, Incarnation: self.Incarnation, Started: time.Now(),
 		},
 	})
 }
--- a/pollen/pollentrial/fault.go
+++ b/pollen/pollentrial/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"pollenline.example/pollen/pollencheck"
@@ -266,12 +267,27 @@
 		if n.Serving() && n.Instance.Table().Revision < response.Revision {
 			t.violated(&pollencheck.Violation{
 				Invariant: pollencheck.ConfigurationInForce,
-				Detail:    fmt.Sprintf("revision %d was accepted, %s has %d", response.Revision, n.Name, n.Instance.Table().Revision),
+				Detail: fmt.Sprintf("revision %d was accepted %v after it was written, %s has %d; %s", response.Revision,
+					time.Since(t.HeadAt()[response.Revision]), n.Name, n.Instance.Table().Revision, t.views(n)),
 			})
 		}
 	}
 }
 
+// views tells how the other nodes know a node.
+func (t *Trial) views(n *Node) string {
+	var views []string
+	for _, other := range t.Nodes() {
+		for _, i := range other.Instance.Table().Instances {
+			if i.Name == n.Name {
+				views = append(views, fmt.Sprintf("%s knows it (live %t, unrecorded %t, same incarnation %t, cut %t)", other.Name,
+					other.Live(), i.Unrecorded, i.Incarnation == n.Instance.Table().Self.Incarnation, t.isCut(n, other)))
+			}
+		}
+	}
+	return strings.Join(views, ", ")
+}
+
 // Order is an operator's change that was stored.
 type Order struct {
 	Change   *pollenschema.Change
