--- a/pollen/pollenfleet/fleet.go
+++ b/pollen/pollenfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -32,6 +33,9 @@
 	Instances int
 	// ColdTime is how long a backend server takes to warm up.
 	ColdTime time.Duration
+	// StoreWritesPerSecond and StoreReadsPerSecond are the store's limits; zero takes the platform's.
+	StoreWritesPerSecond float64
+	StoreReadsPerSecond  float64
 }
 
 // Fleet is a firm's fleet of processes.
@@ -64,6 +68,7 @@
 	peerPort             = 7102
 	steeringPort         = 7200
 	serverPort           = 8000
+	hostsPerNet          = 250
 )
 
 // Start starts the stand-ins and the entry instances and waits until all instances are listed.
@@ -202,7 +207,11 @@
 func (f *Fleet) program(name string) string { return filepath.Join(f.config.Programs, name) }
 
 func (f *Fleet) startStandIns() error {
-	settings := &pollenfakehost.StoreSettings{Address: f.store, WritesPerSecond: storeWritesPerSecond, ReadsPerSecond: storeReadsPerSecond}
+	settings := &pollenfakehost.StoreSettings{
+		Address:         f.store,
+		WritesPerSecond: cmp.Or(f.config.StoreWritesPerSecond, storeWritesPerSecond),
+		ReadsPerSecond:  cmp.Or(f.config.StoreReadsPerSecond, storeReadsPerSecond),
+	}
 	p, err := start(f.config.Directory, "store", f.program("pollenstandin"), "store", settings)
 	if err != nil {
 		return err
@@ -253,9 +262,10 @@
 	settings := polleninstance.DefaultSettings()
 	settings.Name = fmt.Sprintf("entry-%d", n+1)
 	settings.Zone = zones[zone]
-	settings.CallerAddress = f.address(zone+1, n+1, callerPort)
-	settings.OperatorAddress = f.address(zone+1, n+1, operatorPort)
-	settings.PeerAddress = f.address(zone+1, n+1, peerPort)
+	net, host := 1+zone+len(zones)*(n/hostsPerNet), 1+n%hostsPerNet
+	settings.CallerAddress = f.address(net, host, callerPort)
+	settings.OperatorAddress = f.address(net, host, operatorPort)
+	settings.PeerAddress = f.address(net, host, peerPort)
 	settings.StoreAddress = f.store
 	f.Settings = append(f.Settings, settings)
 	f.Instances = append(f.Instances, nil)
--- a/pollen/pollenfleet/metrics.go
+++ b/pollen/pollenfleet/metrics.go
@@ -20,6 +20,10 @@
 	Garbled, Late float64
 	// CPUSeconds is the processor time of the instances.
 	CPUSeconds float64
+	// ResidentBytes and HeapBytes are the instances' memory.
+	ResidentBytes, HeapBytes float64
+	// PeerBytes went over connections between instances.
+	PeerBytes float64
 }
 
 // Counters reads the metrics of all instances that run.
@@ -39,6 +43,9 @@
 		sum.Garbled += total(families["pollen_owner_garbled_total"]) + total(families["pollen_garbled_answers_total"])
 		sum.Late += total(families["pollen_late_answers_total"])
 		sum.CPUSeconds += total(families["process_cpu_seconds_total"])
+		sum.ResidentBytes += total(families["process_resident_memory_bytes"])
+		sum.HeapBytes += total(families["go_memstats_heap_inuse_bytes"])
+		sum.PeerBytes += total(families["pollen_peer_bytes_total"])
 	}
 	return sum, nil
 }
@@ -61,7 +68,7 @@
 func total(family *dto.MetricFamily) float64 {
 	var sum float64
 	for _, metric := range family.GetMetric() {
-		sum += metric.GetCounter().GetValue()
+		sum += metric.GetCounter().GetValue() + metric.GetGauge().GetValue()
 	}
 	return sum
 }
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -114,7 +114,7 @@
 
 		ownership: pollencontrol.NewOwnership(),
 	}
-	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), pollencheck.Violations)
+	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), pollencheck.Violations, pollenpeer.Bytes)
 	self := pollencontrol.Record{
 		Name: settings.Name, Incarnation: rand.Text(), Zone: settings.Zone,
 		Peer: settings.PeerAddress, Caller: settings.CallerAddress, Operator: settings.OperatorAddress,
--- a/pollen/polleninstance/run.go
+++ b/pollen/polleninstance/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,7 +27,9 @@
 	drainTime = 30 * time.Second
 	drainPoll = 20 * time.Millisecond
 	// maximumMessage bounds a caller's or operator's message, in bytes.
-	maximumMessage    = 4 << 20
+	maximumMessage = 4 << 20
+	// compressFrom keeps small answers, which are most, from being compressed, in bytes.
+	compressFrom      = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 )
@@ -129,13 +132,15 @@
 
 func (i *Instance) callerServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(pollenschemaconnect.NewEntryHandler(i.caller, connect.WithReadMaxBytes(maximumMessage)))
+	mux.Handle(pollenschemaconnect.NewEntryHandler(i.caller, connect.WithReadMaxBytes(maximumMessage), connect.WithCompressMinBytes(compressFrom)))
 	return newServer(mux)
 }
 
 func (i *Instance) operatorServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(pollenschemaconnect.NewOperateHandler(i.operator, connect.WithReadMaxBytes(maximumMessage)))
+	mux.Handle(pollenschemaconnect.NewOperateHandler(i.operator, connect.WithReadMaxBytes(maximumMessage), connect.WithCompressMinBytes(compressFrom)))
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 	return newServer(mux)
 }
--- a/pollen/pollenpeer/client.go
+++ b/pollen/pollenpeer/client.go
@@ -207,7 +207,7 @@
 		c.err = err
 		return
 	}
-	c.client = rpc.NewClient(raw)
+	c.client = rpc.NewClient(&countedConn{Conn: raw})
 }
 
 // close closes the connection, once it is dialled.
--- a/pollen/pollenquery/action.go
+++ b/pollen/pollenquery/action.go
@@ -65,7 +65,10 @@
 	q := j.subQuery(t, snapshot, []string{shard.Name}, attempt)
 	j.trace.Add(pollenevent.StepSend, t.server.Name, 0, "action to shard "+shard.Name)
 	answer := j.root.config.Sender.Send(ctx, t.owner, q)
-	j.root.config.Metrics.sends(answer.Sends, 1)
+	j.root.config.Metrics.sends(answer.Sends)
+	if answer.Outcome == pollenschema.Outcome_OUTCOME_DONE {
+		j.root.config.Metrics.needed()
+	}
 	if !verify(q, &answer) {
 		answer = q.Unknown(pollenschema.Reason_REASON_GARBLED, "the owner's answer is not whole")
 	}
--- a/pollen/pollenquery/fanout.go
+++ b/pollen/pollenquery/fanout.go
@@ -200,7 +200,7 @@
 		defer cancel()
 		answer := root.config.Sender.Send(flightCtx, t.owner, q)
 		root.scores.finish(t.server.ID(), f.job.service.Name, &answer, time.Since(fl.started))
-		root.config.Metrics.sends(answer.Sends, needed(hedge))
+		root.config.Metrics.sends(answer.Sends)
 		select {
 		case f.arrivals <- arrival{flight: fl, answer: answer}:
 		case <-ctx.Done():
@@ -210,13 +210,6 @@
 	}()
 }
 
-func needed(hedge bool) int {
-	if hedge {
-		return 0
-	}
-	return 1
-}
-
 // arrive takes one answer in; shards that it does not cover are sent elsewhere at once.
 func (f *fanout) arrive(ctx context.Context, a arrival) {
 	pollencheck.Assert(!f.sealed, pollencheck.TruthfulCoverage, "answer taken in after the merge was sealed")
@@ -238,9 +231,13 @@
 	}
 	pollencheck.Assert(a.answer.Snapshot == f.snapshot.Name, pollencheck.SingleSnapshot,
 		"merged snapshot %s into %s", a.answer.Snapshot, f.snapshot.Name)
+	open := f.open
 	for _, answer := range a.answer.Shards {
 		f.cover(answer, server)
 	}
+	if f.open < open {
+		f.job.root.config.Metrics.needed()
+	}
 	f.cancelLosers()
 	f.dispatchOpen(ctx)
 }
--- a/pollen/pollenquery/metrics.go
+++ b/pollen/pollenquery/metrics.go
@@ -40,7 +40,7 @@
 			Help: "Responses by class, outcome and reason.",
 		}, []string{"class", "outcome", "reason"}),
 		sent:    prometheus.NewCounter(prometheus.CounterOpts{Name: "pollen_subqueries_sent_total", Help: "Copies of sub-queries that went to backend servers."}),
-		need:    prometheus.NewCounter(prometheus.CounterOpts{Name: "pollen_subqueries_needed_total", Help: "Sub-queries without hedges."}),
+		need:    prometheus.NewCounter(prometheus.CounterOpts{Name: "pollen_subqueries_needed_total", Help: "Sub-queries whose answer covered a shard that no other had covered."}),
 		lates:   prometheus.NewCounter(prometheus.CounterOpts{Name: "pollen_late_answers_total", Help: "Answers that came after the merge was sealed and were dropped."}),
 		garbles: prometheus.NewCounter(prometheus.CounterOpts{Name: "pollen_garbled_answers_total", Help: "Answers of owners that were not whole and were dropped."}),
 	}
@@ -57,10 +57,9 @@
 	m.outcomes.WithLabelValues(class, response.Outcome.String(), response.Reason.String()).Inc()
 }
 
-func (m *Metrics) sends(sent, needed int) {
-	m.sent.Add(float64(sent))
-	m.need.Add(float64(needed))
-}
+func (m *Metrics) sends(sent int) { m.sent.Add(float64(sent)) }
+
+func (m *Metrics) needed() { m.need.Inc() }
 
 func (m *Metrics) late() { m.lates.Inc() }
 
--- a/pollenbench/demo.go
+++ b/pollenbench/demo.go
@@ -22,7 +22,6 @@
 	demoActions   = 0.1
 	demoTimeout   = 4 * time.Second
 	demoColdTime  = 2 * time.Second
-	demoSnapshot  = "2026-12-04"
 	// zoneOutTime is the time within which a zone that is out must get no new work.
 	zoneOutTime = 6 * time.Second
 	stopLimit   = 25 * time.Second
@@ -65,7 +64,7 @@
 		return &demoError{Step: "start", Err: err}
 	}
 	d.say("started", "%d entry instances in %d availability zones, %d backend servers", demoInstances, len(firm.Zones), len(d.fleet.Servers))
-	if err := d.fleet.Create(ctx, demoSnapshot); err != nil {
+	if err := d.fleet.Create(ctx, snapshotName); err != nil {
 		return &demoError{Step: "create", Err: err}
 	}
 	d.say("created", "services through the operators' calls, in force everywhere")
@@ -84,12 +83,8 @@
 func (e *demoError) Unwrap() error { return e.Err }
 
 func (d *demo) newGenerator(seed uint64) {
-	callers := make(map[string]pollentraffic.Doer)
-	for n, family := range d.firm.Families {
-		callers[family.Name] = d.fleet.Caller(family.Name, d.firm.Zones[n%len(d.firm.Zones)])
-	}
 	d.generator = pollentraffic.NewGenerator(pollentraffic.Config{
-		Firm: d.firm, Callers: callers, Rate: demoRate, ActionShare: demoActions, Timeout: demoTimeout, Seed: seed,
+		Firm: d.firm, Callers: fleetCallers(d.fleet, d.firm), Rate: demoRate, ActionShare: demoActions, Timeout: demoTimeout, Seed: seed,
 	})
 }
 
--- a/pollenbench/main.go
+++ b/pollenbench/main.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"os"
+	"strconv"
+	"strings"
 
 	"pollenline.example/pollen/pollencommand"
 )
@@ -11,6 +13,7 @@
 func main() {
 	var programs, firm string
 	var seed uint64
+	instances := []int{9, 30, 100}
 	os.Exit(pollencommand.Main(
 		&pollencommand.Command{
 			CommandName: "demo",
@@ -25,5 +28,32 @@
 			},
 			Run: func(ctx context.Context, _ []string) error { return runDemo(ctx, programs, firm, seed) },
 		},
+		&pollencommand.Command{
+			CommandName: "slopes",
+			Summary:     "measure how the cost of control grows",
+			Help: "slopes -programs DIRECTORY [-instances LIST]\n\nMeasures tables of up to 41,000 backend servers, memberships of up to 7,300 instances, " +
+				"and idle fleets of processes. Prints one line for each size; docs/CAPACITY.md is worked out from them.",
+			Flags: func(f *flag.FlagSet) {
+				f.StringVar(&programs, "programs", "bin", "`directory` of the built programs")
+				f.Func("instances", "numbers of processes, as a `list` with commas (default 9,30,100)", func(list string) error {
+					var err error
+					instances, err = parseInstances(list)
+					return err
+				})
+			},
+			Run: func(ctx context.Context, _ []string) error { return runSlopes(ctx, programs, instances) },
+		},
 	))
 }
+
+func parseInstances(list string) ([]int, error) {
+	var instances []int
+	for text := range strings.SplitSeq(list, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return nil, &pollencommand.UsageError{Problem: "want numbers above 0", Err: err}
+		}
+		instances = append(instances, n)
+	}
+	return instances, nil
+}
