--- a/pollen/pollenedge/caller.go
+++ b/pollen/pollenedge/caller.go
@@ -11,7 +11,6 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"pollenline.example/pollen/pollenpeer"
-	"pollenline.example/pollen/pollenquery"
 	"pollenline.example/pollen/pollenroute"
 	"pollenline.example/pollen/pollenschema"
 )
@@ -30,13 +29,18 @@
 	Forward(ctx context.Context, i pollenroute.Instance, request *pollenpeer.ForwardRequest) (*pollenpeer.ForwardReply, error)
 }
 
+// Answerer runs requests.
+type Answerer interface {
+	Answer(ctx context.Context, request *pollenschema.QueryRequest) *pollenschema.QueryResponse
+}
+
 // CallerConfig configures a Caller.
 type CallerConfig struct {
 	// Table returns the table in force.
 	Table func() *pollenroute.Table
 	// TakesCallers reports whether this instance may answer callers.
 	TakesCallers func() bool
-	Root         *pollenquery.Root
+	Root         Answerer
 	Forwarder    Forwarder
 }
 
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -20,6 +20,7 @@
 	"pollenline.example/pollen/pollenedge"
 	"pollenline.example/pollen/pollenevent"
 	"pollenline.example/pollen/pollenmessage"
+	"pollenline.example/pollen/pollennaive"
 	"pollenline.example/pollen/pollenonce"
 	"pollenline.example/pollen/pollenowner"
 	"pollenline.example/pollen/pollenpeer"
@@ -182,14 +183,8 @@
 }
 
 func (i *Instance) buildEdge(self pollencontrol.Record) {
-	policy := pollenquery.DefaultPolicy()
-	policy.HedgeShare = i.settings.HedgeShare
-	root := pollenquery.New(pollenquery.Config{
-		Gate: i, Table: i.Table, Sender: i, Traces: i.traces, Metrics: pollenquery.NewMetrics(i.registry), Policy: policy,
-		Register: pollenonce.NewRegister(pollenonce.Config{Incarnation: self.Incarnation, Capacity: i.settings.RememberedRequests}),
-	})
 	i.caller = pollenedge.NewCaller(pollenedge.CallerConfig{
-		Table: i.Table, TakesCallers: i.takesCallers, Root: root, Forwarder: i,
+		Table: i.Table, TakesCallers: i.takesCallers, Root: i.answerer(self.Incarnation), Forwarder: i,
 	})
 	i.operator = pollenedge.NewOperator(pollenedge.OperatorConfig{
 		Table: i.Table, Peers: i.config.Peers, Self: i.status, Configuration: i.configuration, Events: i.events, Traces: i.traces,
@@ -199,6 +194,22 @@
 	})
 }
 
+// answerer returns the root role, or the baseline that the settings name.
+func (i *Instance) answerer(incarnation string) pollenedge.Answerer {
+	metrics := pollenquery.NewMetrics(i.registry)
+	if i.settings.Baseline == BaselineNaive {
+		return pollennaive.New(pollennaive.Config{
+			Table: i.Table, Connect: i.config.Connect, Sent: func() { metrics.Sends(1) }, Needed: metrics.Needed,
+		})
+	}
+	policy := pollenquery.DefaultPolicy()
+	policy.HedgeShare = i.settings.HedgeShare
+	return pollenquery.New(pollenquery.Config{
+		Gate: i, Table: i.Table, Sender: i, Traces: i.traces, Metrics: metrics, Policy: policy,
+		Register: pollenonce.NewRegister(pollenonce.Config{Incarnation: incarnation, Capacity: i.settings.RememberedRequests}),
+	})
+}
+
 func (i *Instance) publish(table *pollenroute.Table) {
 	previous := i.table.Swap(&tableBox{table: table, newer: make(chan struct{})})
 	if previous != nil {
--- a/pollen/polleninstance/settings.go
+++ b/pollen/polleninstance/settings.go
@@ -28,8 +28,13 @@
 	RememberedRequests int
 	// HedgeShare is the most hedges for each sub-query that is needed.
 	HedgeShare float64
+	// Baseline replaces the policy for measurements: empty, or "Naive".
+	Baseline string
 }
 
+// BaselineNaive sends directly to random replicas, without owners, limits, hedges or memory.
+const BaselineNaive = "Naive"
+
 // DefaultSettings returns the settings that a file need not name.
 func DefaultSettings() *Settings {
 	return &Settings{
@@ -59,6 +64,9 @@
 	if s.HedgeShare < 0 || s.HedgeShare > 1 {
 		checks = append(checks, &pollensettings.FieldError{Field: "HedgeShare", Problem: "want 0 to 1"})
 	}
+	if s.Baseline != "" && s.Baseline != BaselineNaive {
+		checks = append(checks, &pollensettings.FieldError{Field: "Baseline", Problem: "want nothing or \"Naive\""})
+	}
 	for _, err := range checks {
 		if err != nil {
 			return err
--- a/pollen/pollenquery/action.go
+++ b/pollen/pollenquery/action.go
@@ -13,8 +13,11 @@
 	"pollenline.example/pollen/pollenschema"
 )
 
-// actionRetryDelay is the pause before an action that did not run is sent again.
-const actionRetryDelay = 10 * time.Millisecond
+// An action that did not run is sent again after a pause, which doubles each time.
+const (
+	firstActionDelay   = 10 * time.Millisecond
+	maximumActionDelay = 200 * time.Millisecond
+)
 
 // action runs a request that is not idempotent: on one shard, by one backend server.
 //
@@ -23,6 +26,7 @@
 	snapshot := j.pin("")
 	shard := &snapshot.Shards[xxhash.Sum64String(j.request.Key)%uint64(len(snapshot.Shards))]
 	last := notRun(pollenschema.Reason_REASON_NO_REPLICA, "no backend server takes work")
+	delay := firstActionDelay
 	for attempt := 0; ; attempt++ {
 		target, ok := j.actionTarget(shard, attempt)
 		if ok {
@@ -35,7 +39,8 @@
 		select {
 		case <-ctx.Done():
 			return last
-		case <-time.After(actionRetryDelay):
+		case <-time.After(delay):
+			delay = min(2*delay, maximumActionDelay)
 		}
 	}
 }
@@ -65,9 +70,9 @@
 	q := j.subQuery(t, snapshot, []string{shard.Name}, attempt)
 	j.trace.Add(pollenevent.StepSend, t.server.Name, 0, "action to shard "+shard.Name)
 	answer := j.root.config.Sender.Send(ctx, t.owner, q)
-	j.root.config.Metrics.sends(answer.Sends)
+	j.root.config.Metrics.Sends(answer.Sends)
 	if answer.Outcome == pollenschema.Outcome_OUTCOME_DONE {
-		j.root.config.Metrics.needed()
+		j.root.config.Metrics.Needed()
 	}
 	if !verify(q, &answer) {
 		answer = q.Unknown(pollenschema.Reason_REASON_GARBLED, "the owner's answer is not whole")
--- a/pollen/pollenquery/fanout.go
+++ b/pollen/pollenquery/fanout.go
@@ -12,6 +12,9 @@
 	"pollenline.example/pollen/pollenschema"
 )
 
+// maximumRetryDelay bounds the pause before replicas that failed are tried again.
+const maximumRetryDelay = 400 * time.Millisecond
+
 // query runs an idempotent request against all shards of one snapshot.
 //
 // If the pinned snapshot turns out not to be held, the whole query starts once more on another one.
@@ -112,7 +115,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	policy := f.job.root.config.Policy
-	retry := time.NewTicker(policy.RetryDelay)
+	retryDelay := policy.RetryDelay
+	retry := time.NewTimer(retryDelay)
 	defer retry.Stop()
 	hedge := time.NewTimer(f.job.root.scores.hedgeDelay(f.job.service.Name))
 	defer hedge.Stop()
@@ -127,6 +131,9 @@
 		case <-retry.C:
 			f.forgetTried()
 			f.dispatchOpen(ctx)
+			// Each round waits longer, so that refused sub-queries do not add to an overload.
+			retryDelay = min(2*retryDelay, maximumRetryDelay)
+			retry.Reset(retryDelay)
 		}
 		if f.patienceOver() {
 			break
@@ -200,7 +207,7 @@
 		defer cancel()
 		answer := root.config.Sender.Send(flightCtx, t.owner, q)
 		root.scores.finish(t.server.ID(), f.job.service.Name, &answer, time.Since(fl.started))
-		root.config.Metrics.sends(answer.Sends)
+		root.config.Metrics.Sends(answer.Sends)
 		select {
 		case f.arrivals <- arrival{flight: fl, answer: answer}:
 		case <-ctx.Done():
@@ -236,7 +243,7 @@
 		f.cover(answer, server)
 	}
 	if f.open < open {
-		f.job.root.config.Metrics.needed()
+		f.job.root.config.Metrics.Needed()
 	}
 	f.cancelLosers()
 	f.dispatchOpen(ctx)
--- a/pollen/pollenquery/hedge.go
+++ b/pollen/pollenquery/hedge.go
@@ -12,7 +12,7 @@
 type Policy struct {
 	// HedgeShare is the most hedges for each sub-query that is needed.
 	HedgeShare float64
-	// RetryDelay is the pause before replicas that failed are tried again.
+	// RetryDelay is the first pause before replicas that failed are tried again; each one is twice as long.
 	RetryDelay time.Duration
 	// PatienceShare of the shards may be given up by a service that prefers latency.
 	PatienceShare float64
--- a/pollen/pollenquery/metrics.go
+++ b/pollen/pollenquery/metrics.go
@@ -57,9 +57,11 @@
 	m.outcomes.WithLabelValues(class, response.Outcome.String(), response.Reason.String()).Inc()
 }
 
-func (m *Metrics) sends(sent int) { m.sent.Add(float64(sent)) }
+// Sends counts copies of sub-queries that went to backend servers.
+func (m *Metrics) Sends(sent int) { m.sent.Add(float64(sent)) }
 
-func (m *Metrics) needed() { m.need.Inc() }
+// Needed counts a sub-query whose answer was needed.
+func (m *Metrics) Needed() { m.need.Inc() }
 
 func (m *Metrics) late() { m.lates.Inc() }
 
--- a/pollen/pollentrial/fakes.go
+++ b/pollen/pollentrial/fakes.go
@@ -214,7 +214,7 @@
 func (b *fakeBackend) Send(ctx context.Context, request *pollenbackend.Request) (*pollenbackend.Answer, error) {
 	t := b.node.trial
 	if b.node.pass(ctx) && !t.Config.LateSends {
-		// A process that is stopped has not reached the check before the send; see PROOFS.md for the instant between.
+		// A process that is stopped has not reached the check before the send; docs/PROOFS.md has the instant between.
 		return nil, &pollenbackend.NotSentError{Err: errCut}
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/pollen/pollentrial/fault.go
+++ b/pollen/pollentrial/fault.go
@@ -84,9 +84,37 @@
 	return t.faults
 }
 
+// place is what a failure happens to, as far as its kind needs it.
+type place struct {
+	node   *Node
+	server string
+	zone   string
+}
+
 func (t *Trial) play(step Step) {
-	node := t.Nodes()[step.Target%t.Config.Instances]
-	server := t.fleet[step.Target%len(t.fleet)].Name
+	t.bring(step, place{
+		node:   t.Nodes()[step.Target%t.Config.Instances],
+		server: t.fleet[step.Target%len(t.fleet)].Name,
+		zone:   t.Firm.Zones[step.Target%len(t.Firm.Zones)],
+	})
+}
+
+// bring brings one failure about.
+func (t *Trial) bring(step Step, at place) {
+	switch step.Fault {
+	case FaultKill, FaultPause, FaultGracefulStop, FaultCutNodes, FaultCutStore, FaultIsolate:
+		t.failNode(step, at.node)
+	case FaultStoreDown, FaultStoreSlow, FaultStoreLose, FaultStoreStale:
+		t.Store.SetFaults(storeFaults[step.Fault])
+		t.during(step, func() { t.Store.SetFaults(pollenfakestore.Faults{}) })
+	case FaultZoneOut, FaultDrain, FaultPublish, FaultRepartition, FaultRace:
+		t.group.Go(func() { t.operate(step, at) })
+	default:
+		t.failServer(step, at.server)
+	}
+}
+
+func (t *Trial) failNode(step Step, node *Node) {
 	switch step.Fault {
 	case FaultKill:
 		t.killNode(node, step.For)
@@ -101,7 +129,7 @@
 			t.during(step, func() { t.replace(node) })
 		}
 	case FaultCutNodes:
-		other := t.Nodes()[(step.Target+1)%t.Config.Instances]
+		other := t.Nodes()[(node.number+1)%t.Config.Instances]
 		t.setCut(node, other, true)
 		t.during(step, func() { t.setCut(node, other, false) })
 	case FaultCutStore:
@@ -110,16 +138,16 @@
 	case FaultIsolate:
 		t.isolate(node, true)
 		t.during(step, func() { t.isolate(node, false) })
-	case FaultStoreDown, FaultStoreSlow, FaultStoreLose, FaultStoreStale:
-		t.Store.SetFaults(storeFaults[step.Fault])
-		t.during(step, func() { t.Store.SetFaults(pollenfakestore.Faults{}) })
+	}
+}
+
+func (t *Trial) failServer(step Step, server string) {
+	switch step.Fault {
 	case FaultServerRestart:
 		t.Servers[server].Restart()
 		t.Met(step.Fault)
 	case FaultSilent:
 		t.silence(server)
-	case FaultZoneOut, FaultDrain, FaultPublish, FaultRepartition, FaultRace:
-		t.group.Go(func() { t.operate(step, server) })
 	default:
 		t.Servers[server].SetFaults(t.serverFaults(step.Fault, server))
 		t.during(step, func() { t.Servers[server].SetFaults(pollenfakeserver.Faults{}) })
@@ -210,15 +238,14 @@
 	}
 }
 
-func (t *Trial) operate(step Step, server string) {
-	service := t.serviceOf(server)
+func (t *Trial) operate(step Step, at place) {
+	server, service := at.server, t.serviceOf(at.server)
 	t.Met(step.Fault)
 	switch step.Fault {
 	case FaultZoneOut:
-		zone := t.Firm.Zones[step.Target%len(t.Firm.Zones)]
-		t.change(PutZone(zone, pollenschema.Admin_ADMIN_OUT))
+		t.change(PutZone(at.zone, pollenschema.Admin_ADMIN_OUT))
 		time.Sleep(step.For)
-		t.change(PutZone(zone, pollenschema.Admin_ADMIN_IN))
+		t.change(PutZone(at.zone, pollenschema.Admin_ADMIN_IN))
 	case FaultDrain:
 		t.change(setServer(service, server, pollenschema.Admin_ADMIN_DRAINING))
 		time.Sleep(step.For)
--- a/pollen/pollentrial/invariant_test.go
+++ b/pollen/pollentrial/invariant_test.go
@@ -150,7 +150,10 @@
 
 func run(config pollentrial.Config, p proof, plan []pollentrial.Step, met map[pollentrial.Fault]int) []string {
 	trial := pollentrial.Start(config)
-	defer trial.End()
+	defer func() {
+		trial.End()
+		time.Sleep(pollentrial.Linger)
+	}()
 	watched := func() []string { return nil }
 	if p.watch != nil {
 		watched = p.watch(trial)
--- a/pollen/pollentrial/load.go
+++ b/pollen/pollentrial/load.go
@@ -112,12 +112,6 @@
 	if i == nil {
 		return nil, nil
 	}
-	var node *Node
-	for _, n := range t.Nodes() {
-		if n.Name == i.Name {
-			node = n
-		}
-	}
 	family := t.Firm.Families[t.intN(len(t.Firm.Families))]
 	nonce := fmt.Sprintf("request-%d", number)
 	return &pollenschema.QueryRequest{
@@ -125,7 +119,7 @@
 		Service: pollenfirm.ServiceName(family, t.intN(family.Services)), Class: family.Class, Caller: family.Name,
 		Timeout: durationpb.New(load.Timeout), Idempotent: !t.chance(load.ActionShare),
 		Key: nonce, Payload: []byte(nonce),
-	}, node
+	}, t.nodeNamed(i.Name)
 }
 
 // copy sends a request again: at once, a little later or after its expiry, to any node.
--- a/pollen/pollentrial/node.go
+++ b/pollen/pollentrial/node.go
@@ -43,6 +43,7 @@
 	settings.CallerAddress = nodeAddress(number)
 	settings.OperatorAddress = nodeAddress(number)
 	settings.StoreAddress = nodeAddress(storeNumber)
+	settings.Baseline = t.Config.Baseline
 	for other := range t.Config.Instances {
 		settings.SeedAddresses = append(settings.SeedAddresses, nodeAddress(other))
 	}
--- a/pollen/pollentrial/once_test.go
+++ b/pollen/pollentrial/once_test.go
@@ -34,30 +34,9 @@
 	})
 }
 
-// actionRuns adds up the servers' ledgers.
-func actionRuns(trial *pollentrial.Trial) map[string]int {
-	runs := make(map[string]int)
-	for _, server := range trial.Servers {
-		for action, n := range server.Ledger().Runs {
-			runs[nonceOf(action)] += n
-		}
-	}
-	return runs
-}
-
-// nonceOf returns the nonce of an action as servers know it.
-func nonceOf(action string) string {
-	for n := range action {
-		if action[n] == '/' {
-			return action[n+1:]
-		}
-	}
-	return action
-}
-
 func judgeOnce(trial *pollentrial.Trial) []string {
 	var problems []string
-	runs := actionRuns(trial)
+	runs := trial.ActionRuns()
 	for nonce, n := range runs {
 		if n > 1 {
 			problems = append(problems, problem("%s ran %d times", nonce, n))
@@ -77,7 +56,7 @@
 
 func judgeNotRun(trial *pollentrial.Trial) []string {
 	problems := judgeOnce(trial)
-	runs := actionRuns(trial)
+	runs := trial.ActionRuns()
 	for _, r := range trial.Results() {
 		if r.Response.GetOutcome() != pollenschema.Outcome_OUTCOME_NOT_RUN {
 			continue
--- a/pollen/pollentrial/trial.go
+++ b/pollen/pollentrial/trial.go
@@ -33,6 +33,8 @@
 	Cold     bool
 	// CrossShare of the answers between nodes are swapped with earlier ones.
 	CrossShare float64
+	// Baseline is that of the instances' settings.
+	Baseline string
 }
 
 // Trial is a fleet of instances with fakes around it.
@@ -114,7 +116,7 @@
 	return t
 }
 
-// End stops everything and waits for the last goroutine.
+// End stops everything. Calls that were under way end by their own timeouts, within Linger.
 func (t *Trial) End() {
 	t.Store.SetFaults(pollenfakestore.Faults{})
 	for _, n := range t.Nodes() {
@@ -122,10 +124,12 @@
 	}
 	t.end()
 	t.group.Wait()
-	time.Sleep(time.Minute)
 	pollencheck.Handle(nil)
 }
 
+// Linger is the time after which nothing that a trial has started runs any longer.
+const Linger = time.Minute
+
 // Nodes returns all nodes in order.
 func (t *Trial) Nodes() []*Node {
 	t.mu.Lock()
--- a/pollenload/main.go
+++ b/pollenload/main.go
@@ -4,11 +4,14 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"pollenline.example/pollen/pollencaller"
 	"pollenline.example/pollen/pollencommand"
 	"pollenline.example/pollen/pollenfirm"
@@ -28,15 +31,18 @@
 
 func main() {
 	o := &runOptions{}
-	os.Exit(pollencommand.Main(
-		&pollencommand.Command{
+	commands := []*pollencommand.Command{
+		{
 			CommandName: "run", Summary: "send a firm's requests at a rate and print what comes back",
 			Help: "run -addresses LIST -firm NAME [-rate NUMBER] [-duration TIME]\n\n" +
 				"The rate does not wait for answers; times count from when a request was due.",
 			Flags: o.flags,
 			Run:   func(ctx context.Context, _ []string) error { return o.run(ctx) },
 		},
-	))
+	}
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(pollencommand.Main(append(commands, traceCommands()...)...))
 }
 
 func (o *runOptions) flags(f *flag.FlagSet) {
