Test real processes, bad input and messages from outside

Cause: the trials replace HTTP, net/rpc and process signals by fakes; nothing tested the real ones.

A caller asks a query elsewhere when half of its time has passed without an answer.

--- /dev/null
+++ b/pollen/pollenbackend/answer_test.go
@@ -0,0 +1,129 @@
+package pollenbackend_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenbackend"
+	"pollenline.example/pollen/pollenmessage"
+	"pollenline.example/pollen/pollenroute"
+)
+
+func request() *pollenbackend.Request {
+	return &pollenbackend.Request{ID: "1", Service: "s", Snapshot: "v1", Shards: []string{"a", "b"}, TimeoutMicroseconds: 1000}
+}
+
+func answer(change func(*pollenbackend.Answer)) string {
+	a := &pollenbackend.Answer{ID: "1", BootID: "x", Snapshot: "v1", Shards: []pollenmessage.ShardAnswer{
+		{Shard: "a", State: pollenmessage.ShardAnswered, Rows: [][]byte{[]byte("1")}},
+		{Shard: "b", State: pollenmessage.ShardLost},
+	}}
+	a.Checksum = pollenmessage.Checksum(a.Shards)
+	change(a)
+	data, err := json.Marshal(a)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// TestSend lets a server answer badly in every way; each gives a typed error or a refusal.
+func TestSend(t *testing.T) {
+	sum := func(a *pollenbackend.Answer) { a.Checksum = pollenmessage.Checksum(a.Shards) }
+	tests := []struct {
+		name    string
+		status  int
+		body    string
+		problem string
+	}{
+		{"whole", 200, answer(func(*pollenbackend.Answer) {}), ""},
+		{"refusal", 503, answer(func(a *pollenbackend.Answer) { a.NotRun, a.Refusal = true, pollenbackend.RefusalShed }), ""},
+		{"error without refusal", 500, answer(func(*pollenbackend.Answer) {}), "HTTP status 500"},
+		{"not JSON", 200, "<html>", "not JSON"},
+		{"empty object", 200, "{}", "fields ID and BootID are required"},
+		{"crossed", 200, answer(func(a *pollenbackend.Answer) { a.ID = "2" }), "crossed"},
+		{"other snapshot", 200, answer(func(a *pollenbackend.Answer) { a.Snapshot = "v2" }), `snapshot "v2" instead of "v1"`},
+		{"checksum", 200, answer(func(a *pollenbackend.Answer) { a.Checksum++ }), "checksum differs"},
+		{"shard missing", 200, answer(func(a *pollenbackend.Answer) { a.Shards = a.Shards[:1]; sum(a) }), "1 shards are not mentioned"},
+		{"shard twice", 200, answer(func(a *pollenbackend.Answer) { a.Shards[1] = a.Shards[0]; sum(a) }), "stands twice"},
+		{"shard not asked for", 200, answer(func(a *pollenbackend.Answer) { a.Shards[1].Shard = "c"; sum(a) }), "was not asked for"},
+		{"oversized", 200, strings.Repeat(" ", pollenbackend.MaximumAnswerBytes+1), "maximum size"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				_, _ = w.Write([]byte(test.body))
+			}))
+			defer server.Close()
+			_, err := client(server.Listener.Addr().String()).Send(context.Background(), request())
+			if test.problem == "" {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			var garbled *pollenbackend.GarbledError
+			c.Assert(err, qt.ErrorAs, &garbled)
+			c.Assert(err.Error(), qt.Contains, test.problem)
+		})
+	}
+}
+
+// TestSendOnce breaks the connection after the request was read; net/http must not send it again.
+func TestSendOnce(t *testing.T) {
+	c := qt.New(t)
+	requests := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests++
+		if requests > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(answer(func(*pollenbackend.Answer) {})))
+	}))
+	defer server.Close()
+	sender := client(server.Listener.Addr().String())
+	_, err := sender.Send(context.Background(), request())
+	c.Assert(err, qt.IsNil)
+	_, err = sender.Send(context.Background(), request())
+	var lost *pollenbackend.LostError
+	c.Assert(err, qt.ErrorAs, &lost)
+	c.Assert(requests, qt.Equals, 2)
+}
+
+func TestSendNothing(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	c.Assert(listener.Close(), qt.IsNil)
+	_, err = client(address).Send(context.Background(), request())
+	var notSent *pollenbackend.NotSentError
+	c.Assert(err, qt.ErrorAs, &notSent)
+}
+
+func FuzzParseAnswer(f *testing.F) {
+	f.Add([]byte(answer(func(*pollenbackend.Answer) {})))
+	f.Add([]byte(`{"ID":"1","BootID":"x","Shards":[{"Rows":[null]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, err := pollenbackend.ParseAnswer(data)
+		if err != nil {
+			return
+		}
+		asked := request()
+		if pollenbackend.Verify(asked, a) == nil && !a.NotRun && len(a.Shards) != len(asked.Shards) {
+			t.Fatalf("%d shards pass for %d", len(a.Shards), len(asked.Shards))
+		}
+	})
+}
+
+func client(address string) *pollenbackend.Client {
+	return pollenbackend.NewClient(&pollenroute.Server{Address: netip.MustParseAddrPort(address), Slots: 2, Connections: 25})
+}
--- a/pollen/pollencaller/caller.go
+++ b/pollen/pollencaller/caller.go
@@ -78,36 +78,86 @@
 // Do sends a request and verifies the answer.
 //
 // A request that an instance did not run is sent to another one under a new id while time remains, and so is a
-// query whose connection was lost. An action whose fate is not known is not sent again.
+// query whose connection was lost or that has had no answer for half of its time. An action whose fate is not known
+// is not sent again.
 func (c *Caller) Do(ctx context.Context, request Request) (*pollenschema.QueryResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
 	defer cancel()
-	var last *pollenschema.QueryResponse
+	attempts := make(chan attempt, maximumAttempts)
+	var last attempt
 	var avoid string
-	for attempt := 0; ; attempt++ {
-		i, err := c.choose(ctx, avoid)
-		if err == nil {
-			var response *pollenschema.QueryResponse
-			response, err = c.send(ctx, i, request)
-			if err == nil && final(request, response) {
-				return response, nil
-			}
-			if err != nil && request.Action && !neverSent(err) {
-				return unknown(response, err), nil
-			}
-			if err == nil {
-				last = response
-			}
+	waiting := 0
+	for range maximumAttempts {
+		if i, err := c.choose(ctx, avoid); err != nil {
+			last.err = err
+		} else {
 			avoid = i.Incarnation
-			c.forget()
+			waiting++
+			go func() {
+				response, err := c.send(ctx, i, request)
+				attempts <- attempt{response: response, err: err}
+			}()
 		}
-		if attempt >= maximumAttempts || !pause(ctx) {
-			if last != nil {
-				return last, nil
+		ended, ok := wait(ctx, attempts, waiting, request)
+		if ok {
+			waiting--
+			if ended.settles(request) {
+				return ended.result(request)
 			}
-			return nil, fmt.Errorf("request to %s: %w", request.Service, errors.Join(err, ctx.Err()))
+			last = ended
 		}
+		c.forget()
+		if !pause(ctx) {
+			break
+		}
+	}
+	return last.result(request)
+}
+
+// attempt is what one instance answered.
+type attempt struct {
+	response *pollenschema.QueryResponse
+	err      error
+}
+
+// wait waits for an attempt to end; a query waits no longer than half of its time before it is tried elsewhere.
+func wait(ctx context.Context, attempts <-chan attempt, waiting int, request Request) (attempt, bool) {
+	if waiting == 0 {
+		return attempt{}, false
+	}
+	var patience <-chan time.Time
+	if deadline, ok := ctx.Deadline(); ok && !request.Action {
+		timer := time.NewTimer(time.Until(deadline) / 2)
+		defer timer.Stop()
+		patience = timer.C
+	}
+	select {
+	case ended := <-attempts:
+		return ended, true
+	case <-patience:
+		return attempt{}, false
+	}
+}
+
+// settles reports whether no further attempt may or need be made.
+func (a attempt) settles(request Request) bool {
+	if a.err == nil {
+		return final(request, a.response)
+	}
+	return request.Action && !neverSent(a.err)
+}
+
+// result returns what the caller is told.
+func (a attempt) result(request Request) (*pollenschema.QueryResponse, error) {
+	switch {
+	case a.err == nil && a.response != nil:
+		return a.response, nil
+	case a.err == nil:
+		return nil, fmt.Errorf("request to %s: %w", request.Service, context.DeadlineExceeded)
+	case request.Action && !neverSent(a.err) && !errors.Is(a.err, ErrNowhere):
+		return unknown(a.response, a.err), nil
 	}
+	return nil, fmt.Errorf("request to %s: %w", request.Service, a.err)
 }
 
 // Locate returns the instances that may be connected to, from memory while the answer is fresh.
--- /dev/null
+++ b/pollen/pollencontrol/values_test.go
@@ -0,0 +1,56 @@
+package pollencontrol
+
+import (
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"k8s.io/klog/v2"
+
+	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/pollenreplica"
+	"pollenline.example/pollen/pollenroute"
+	"pollenline.example/pollen/pollenstore"
+)
+
+// idle is an owner role without work.
+type idle struct{}
+
+func (idle) Sending(pollenroute.Group) int       { return 0 }
+func (idle) Pump()                               {}
+func (idle) Forget(func(pollenroute.Group) bool) {}
+
+func newTestCore() *Core {
+	return NewCore(Config{
+		Self: Record{Name: "self", Incarnation: "one", Zone: "zone"}, Traffic: idle{}, Replica: pollenreplica.New(),
+		Ownership: NewOwnership(), Publish: func(*pollenroute.Table) {}, Post: func(any) {}, Log: pollenevent.NewLog(10),
+	})
+}
+
+// FuzzStoreValues puts any value under each kind of key; control must take or refuse it and go on.
+func FuzzStoreValues(f *testing.F) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	f.Add("head", []byte(`{"Revision":1,"Documents":[{"Name":"zone/a","Key":"pollenline/document/a"}]}`))
+	f.Add("instance/other", []byte(`{"Name":"other","Peer":"127.0.0.1:1"}`))
+	f.Add("group/zone/7", []byte(`{"Instance":"other"}`))
+	f.Add("group/nowhere", []byte(`{}`))
+	f.Add("document/a", []byte(`{`))
+	f.Fuzz(func(_ *testing.T, key string, value []byte) {
+		core := newTestCore()
+		entry := pollenstore.Entry{Key: Prefix + key, Value: value, Version: 1}
+		core.takeEvents(core.config.Replica.Apply(pollenstore.Changes{Events: []pollenstore.Event{{Entry: entry}}, Revision: 1}))
+		core.publish()
+	})
+}
+
+func TestHeadThatNamesMissingDocumentIsRefused(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore()
+	entry := pollenstore.Entry{Key: KeyHead, Value: []byte(`{"Revision":5,"Documents":[{"Name":"zone/a","Revision":5,"Key":"gone"}]}`), Version: 1}
+	core.takeEvents(core.config.Replica.Apply(pollenstore.Changes{Events: []pollenstore.Event{{Entry: entry}}, Revision: 1}))
+	c.Check(core.table.Revision, qt.Equals, uint64(0))
+	events := core.config.Log.Newest(10)
+	c.Assert(events, qt.HasLen, 1)
+	c.Check(events[0].Cause, qt.Contains, "is not in the replica")
+}
--- a/pollen/pollenfleet/fleet.go
+++ b/pollen/pollenfleet/fleet.go
@@ -72,19 +72,17 @@
 )
 
 // Start starts the stand-ins and the entry instances and waits until all instances are listed.
+//
+// After an error nothing that it started runs any longer.
 func Start(ctx context.Context, config Config) (*Fleet, error) {
 	f := &Fleet{config: config, hosts: make(map[string]*serverHost)}
 	f.store = f.address(0, 1, storePort)
 	f.Servers = config.Firm.Servers(func(n int) netip.AddrPort { return f.address(250, 1+n%200, serverPort+n/200) })
-	if err := f.startStandIns(); err != nil {
-		return f, err
-	}
-	for n := range config.Instances {
-		if err := f.startInstance(n); err != nil {
-			return f, err
-		}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
 	}
-	return f, f.waitListed(ctx, config.Instances)
+	return f, nil
 }
 
 // Close ends all processes that the fleet has started.
@@ -206,6 +204,18 @@
 
 func (f *Fleet) program(name string) string { return filepath.Join(f.config.Programs, name) }
 
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startStandIns(); err != nil {
+		return err
+	}
+	for n := range f.config.Instances {
+		if err := f.startInstance(n); err != nil {
+			return err
+		}
+	}
+	return f.waitListed(ctx, f.config.Instances)
+}
+
 func (f *Fleet) startStandIns() error {
 	settings := &pollenfakehost.StoreSettings{
 		Address:         f.store,
--- /dev/null
+++ b/pollen/pollenfleet/fleet_test.go
@@ -0,0 +1,124 @@
+package pollenfleet_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenfakeserver"
+	"pollenline.example/pollen/pollenfakestore"
+	"pollenline.example/pollen/pollenfirm"
+	"pollenline.example/pollen/pollenfleet"
+	"pollenline.example/pollen/pollenschema"
+	"pollenline.example/pollen/pollentraffic"
+)
+
+const (
+	testInstances = 9
+	testRate      = 150
+	testTimeout   = 2 * time.Second
+)
+
+// TestProcesses kills, stops and resumes real processes under load; the servers' ledgers are its judge.
+//
+// It asserts only what holds however slow the machine is: no action runs twice or runs after "not run" was said,
+// every answer is whole and truthful, and no assertion in a program fails.
+func TestProcesses(t *testing.T) {
+	c := qt.New(t)
+	firm, err := pollenfirm.ByName("vunivalu")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	fleet, err := pollenfleet.Start(ctx, pollenfleet.Config{
+		Firm: firm, Programs: programs(t), Directory: t.TempDir(), Instances: testInstances, ColdTime: time.Second,
+	})
+	c.Assert(err, qt.IsNil)
+	defer fleet.Close()
+	c.Assert(fleet.Create(ctx, "v1"), qt.IsNil)
+
+	callers := make(map[string]pollentraffic.Doer)
+	for _, family := range firm.Families {
+		callers[family.Name] = fleet.Caller(family.Name, firm.Zones[0])
+	}
+	generator := pollentraffic.NewGenerator(pollentraffic.Config{
+		Firm: firm, Callers: callers, Rate: testRate, ActionShare: 0.5, Timeout: testTimeout, Seed: 1,
+	})
+	var traffic sync.WaitGroup
+	traffic.Go(func() { generator.Run(ctx, 20*time.Second) })
+	breakThings(ctx, c, fleet)
+	traffic.Wait()
+	judge(ctx, c, fleet, generator.Tally())
+}
+
+// programs returns the directory of the built programs, and builds them if nobody has.
+func programs(t *testing.T) string {
+	if directory := os.Getenv("POLLEN_PROGRAMS"); directory != "" {
+		return directory
+	}
+	directory := t.TempDir()
+	for _, program := range []string{"pollenentry", "pollenstandin"} {
+		build := exec.Command("go", "build", "-o", directory, ".")
+		build.Dir = filepath.Join("..", "..", program)
+		output, err := build.CombinedOutput()
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
+	}
+	return directory
+}
+
+func breakThings(ctx context.Context, c *qt.C, fleet *pollenfleet.Fleet) {
+	const pause = 1500 * time.Millisecond
+	server := fleet.Servers[3].Name
+	time.Sleep(pause)
+	fleet.Instances[1].Kill()
+	time.Sleep(pause)
+	c.Check(fleet.Instances[2].Signal(syscall.SIGSTOP), qt.IsNil)
+	time.Sleep(2 * pause)
+	c.Check(fleet.Instances[2].Signal(syscall.SIGCONT), qt.IsNil)
+	fleet.Host(fleet.Servers[0].Name).Kill()
+	c.Check(fleet.RestartServer(ctx, server), qt.IsNil)
+	time.Sleep(pause)
+	c.Check(fleet.SetStoreFaults(ctx, pollenfakestore.Faults{Down: true}), qt.IsNil)
+	c.Check(fleet.Silence(ctx, server), qt.IsNil)
+	time.Sleep(2 * pause)
+	c.Check(fleet.SetStoreFaults(ctx, pollenfakestore.Faults{}), qt.IsNil)
+	c.Check(fleet.SetFaults(ctx, server, pollenfakeserver.Faults{LoseAnswers: true}), qt.IsNil)
+	c.Check(fleet.Restart(1), qt.IsNil)
+	time.Sleep(pause)
+	c.Check(fleet.SetFaults(ctx, server, pollenfakeserver.Faults{}), qt.IsNil)
+}
+
+func judge(ctx context.Context, c *qt.C, fleet *pollenfleet.Fleet, tally *pollentraffic.Tally) {
+	total := tally.Total()
+	c.Logf("%+v", total)
+	c.Check(total.Done > 0, qt.IsTrue)
+	c.Check(total.Untruthful, qt.Equals, 0)
+	counters, err := fleet.Counters(ctx)
+	c.Check(err, qt.IsNil)
+	c.Check(counters.Violations, qt.Equals, 0.0)
+
+	runs := make(map[string]int)
+	for _, s := range fleet.Servers {
+		if fleet.Host(s.Name).Ended() {
+			continue
+		}
+		ledger, err := fleet.Ledger(ctx, s.Name)
+		c.Check(err, qt.IsNil)
+		for action, n := range ledger.Runs {
+			runs[action] += n
+		}
+	}
+	c.Check(len(runs) > 0, qt.IsTrue)
+	for action, n := range runs {
+		c.Check(n, qt.Equals, 1, qt.Commentf("action %s", action))
+	}
+	for _, action := range tally.Actions(pollenschema.Outcome_OUTCOME_NOT_RUN) {
+		c.Check(runs[action], qt.Equals, 0, qt.Commentf("action %s was told as not run", action))
+	}
+}
--- a/pollen/pollentraffic/tally.go
+++ b/pollen/pollentraffic/tally.go
@@ -20,6 +20,8 @@
 type Tally struct {
 	mu      sync.Mutex
 	classes map[pollenschema.Class]*classTally
+	// actions are the ids of actions, as backend servers see them, by outcome.
+	actions map[pollenschema.Outcome][]string
 }
 
 // classTally counts the requests of one class.
@@ -57,7 +59,7 @@
 
 // NewTally returns an empty tally.
 func NewTally() *Tally {
-	return &Tally{classes: make(map[pollenschema.Class]*classTally)}
+	return &Tally{classes: make(map[pollenschema.Class]*classTally), actions: make(map[pollenschema.Outcome][]string)}
 }
 
 const (
@@ -91,6 +93,13 @@
 	return total.summary()
 }
 
+// Actions returns the ids of the actions that ended with an outcome, as backend servers see them.
+func (t *Tally) Actions(outcome pollenschema.Outcome) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.actions[outcome]
+}
+
 // Print writes a table with a line for each class.
 func (t *Tally) Print(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -116,6 +125,10 @@
 		t.classes[request.Class] = c
 	}
 	c.add(request, response, err, latency)
+	if request.Action && err == nil {
+		id := response.GetId()
+		t.actions[response.Outcome] = append(t.actions[response.Outcome], id.GetIncarnation()+"/"+id.GetNonce())
+	}
 }
 
 func newClassTally() *classTally {
--- a/pollenbench/demo.go
+++ b/pollenbench/demo.go
@@ -59,10 +59,10 @@
 	d.fleet, err = pollenfleet.Start(ctx, pollenfleet.Config{
 		Firm: firm, Programs: programs, Directory: directory, Instances: demoInstances, ColdTime: demoColdTime,
 	})
-	defer d.fleet.Close()
 	if err != nil {
 		return &demoError{Step: "start", Err: err}
 	}
+	defer d.fleet.Close()
 	d.say("started", "%d entry instances in %d availability zones, %d backend servers", demoInstances, len(firm.Zones), len(d.fleet.Servers))
 	if err := d.fleet.Create(ctx, snapshotName); err != nil {
 		return &demoError{Step: "create", Err: err}
--- a/pollenbench/fleet.go
+++ b/pollenbench/fleet.go
@@ -37,13 +37,13 @@
 	startCtx, cancel := context.WithTimeout(ctx, startLimitTime)
 	defer cancel()
 	fleet, err := pollenfleet.Start(startCtx, config)
+	if err != nil {
+		return nil, firm, func() { _ = os.RemoveAll(directory) }, &demoError{Step: "start", Err: err}
+	}
 	closeFleet := func() {
 		fleet.Close()
 		_ = os.RemoveAll(directory)
 	}
-	if err != nil {
-		return fleet, firm, closeFleet, &demoError{Step: "start", Err: err}
-	}
 	if err := fleet.Create(startCtx, snapshotName); err != nil {
 		return fleet, firm, closeFleet, &demoError{Step: "create", Err: err}
 	}
