Hedge by multiples of each server's typical answer time

A root keeps its hedge delay for each service, and with 52 services and 9 roots it saw 0.3 queries a second of each, never enough to leave the initial 50 ms.

Change: owners, which see all traffic of a server, tell its median answer time; a root keeps one sample of answer times in multiples of it and hedges at the 97th percentile. Experiments run against real processes, each policy beside the naive one.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 FIRM ?= vunivalu
 SECONDS ?= 60
 
-.PHONY: build test check demo proof slopes mutations generate
+.PHONY: build test check demo proof measure slopes mutations generate
 
 build:
 	@mkdir -p bin
@@ -25,6 +25,9 @@
 	status=$$?; grep '^Proof' ../bin/proof.log; \
 	[ $$status -eq 0 ] || grep -E 'first:|never met|panic:' ../bin/proof.log; exit $$status
 
+measure: build
+	bin/pollenbench measure -programs bin -out docs
+
 slopes: build
 	bin/pollenbench slopes -programs bin
 
--- a/pollen/pollenfleet/fleet.go
+++ b/pollen/pollenfleet/fleet.go
@@ -33,6 +33,8 @@
 	Instances int
 	// ColdTime is how long a backend server takes to warm up.
 	ColdTime time.Duration
+	// Baseline is that of the instances' settings.
+	Baseline string
 	// StoreWritesPerSecond and StoreReadsPerSecond are the store's limits; zero takes the platform's.
 	StoreWritesPerSecond float64
 	StoreReadsPerSecond  float64
@@ -277,6 +279,7 @@
 	settings.OperatorAddress = f.address(net, host, operatorPort)
 	settings.PeerAddress = f.address(net, host, peerPort)
 	settings.StoreAddress = f.store
+	settings.Baseline = f.config.Baseline
 	f.Settings = append(f.Settings, settings)
 	f.Instances = append(f.Instances, nil)
 	return f.Restart(n)
--- a/pollen/pollenlimit/line.go
+++ b/pollen/pollenlimit/line.go
@@ -139,6 +139,13 @@
 	return l.machine.Has(traitTakesHedges)
 }
 
+// Typical returns the server's median answer time when warm, or zero if it is not known yet.
+func (l *Line) Typical() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ramp.baseline
+}
+
 // ProgressTimeout returns how long a request may stay without an answer before its connection is doubted.
 func (l *Line) ProgressTimeout() time.Duration {
 	l.mu.Lock()
--- a/pollen/pollenmessage/message.go
+++ b/pollen/pollenmessage/message.go
@@ -65,6 +65,8 @@
 	Checksum uint64
 	// Warm is set when the backend server takes hedges.
 	Warm bool
+	// Typical is the median answer time of the backend server when warm, zero if the owner does not know it yet.
+	Typical time.Duration
 	// Sends counts the copies that went to the backend server.
 	Sends int
 }
--- a/pollen/pollenowner/owner.go
+++ b/pollen/pollenowner/owner.go
@@ -84,6 +84,7 @@
 	o.config.Metrics.observeQueue(q, permit)
 	answer := o.send(ctx, q, line, permit)
 	answer.Warm = line.limit.Warm()
+	answer.Typical = line.limit.Typical()
 	return answer
 }
 
--- a/pollen/pollenquery/fanout.go
+++ b/pollen/pollenquery/fanout.go
@@ -66,7 +66,9 @@
 	flights  map[int]*flight
 	arrivals chan arrival
 	number   int
-	sealed   bool
+	// slowest is the longest hedge delay of the flights so far.
+	slowest time.Duration
+	sealed  bool
 }
 
 // shardState is what the fan-out knows of one shard.
@@ -91,6 +93,8 @@
 	started time.Time
 	cancel  context.CancelFunc
 	hedged  bool
+	// hedgeAfter is the age at which the flight is hedged.
+	hedgeAfter time.Duration
 }
 
 // arrival is the answer to a flight.
@@ -118,9 +122,9 @@
 	retryDelay := policy.RetryDelay
 	retry := time.NewTimer(retryDelay)
 	defer retry.Stop()
-	hedge := time.NewTimer(f.job.root.scores.hedgeDelay(f.job.service.Name))
-	defer hedge.Stop()
 	f.dispatchOpen(ctx)
+	hedge := time.NewTimer(f.hedgeSlow(ctx))
+	defer hedge.Stop()
 	for f.open > 0 && ctx.Err() == nil && !f.hopeless() {
 		select {
 		case <-ctx.Done():
@@ -192,6 +196,8 @@
 	q.Hedge = hedge
 	flightCtx, cancel := context.WithCancel(ctx)
 	fl := &flight{number: f.number, q: q, target: t, shards: shards, started: time.Now(), cancel: cancel, hedged: hedge}
+	fl.hedgeAfter = f.job.root.scores.hedgeDelay(t.server.ID())
+	f.slowest = max(f.slowest, fl.hedgeAfter)
 	f.flights[fl.number] = fl
 	kind := pollenevent.StepSend
 	if hedge {
@@ -206,7 +212,7 @@
 	go func() {
 		defer cancel()
 		answer := root.config.Sender.Send(flightCtx, t.owner, q)
-		root.scores.finish(t.server.ID(), f.job.service.Name, &answer, time.Since(fl.started))
+		root.scores.finish(t.server.ID(), &answer, time.Since(fl.started))
 		root.config.Metrics.Sends(answer.Sends)
 		select {
 		case f.arrivals <- arrival{flight: fl, answer: answer}:
--- a/pollen/pollenquery/hedge.go
+++ b/pollen/pollenquery/hedge.go
@@ -25,21 +25,24 @@
 
 // hedgeSlow sends second copies of sub-queries that are slower than most, and returns when to look again.
 func (f *fanout) hedgeSlow(ctx context.Context) time.Duration {
-	root := f.job.root
-	delay := root.scores.hedgeDelay(f.job.service.Name)
-	next := delay
+	next := maximumHedgeLook
 	for _, fl := range f.flights {
-		age := time.Since(fl.started)
-		if fl.hedged || age < delay {
-			next = min(next, max(minimumHedgeDelay, delay-age))
+		if fl.hedged {
+			continue
+		}
+		if left := fl.hedgeAfter - time.Since(fl.started); left > 0 {
+			next = min(next, left)
 			continue
 		}
 		fl.hedged = true
 		f.hedge(ctx, fl)
 	}
-	return next
+	return max(next, minimumHedgeDelay)
 }
 
+// maximumHedgeLook bounds the pause between two looks for slow sub-queries, since later ones may have started.
+const maximumHedgeLook = 10 * time.Millisecond
+
 func (f *fanout) hedge(ctx context.Context, fl *flight) {
 	table := f.job.root.config.Table()
 	p := newPlan(f.job.root.scores)
@@ -67,10 +70,10 @@
 	if float64(f.open) > f.job.root.config.Policy.PatienceShare*float64(len(f.snapshot.Shards)) {
 		return false
 	}
-	return time.Since(f.job.started) > patienceFactor*f.job.root.scores.hedgeDelay(f.job.service.Name)
+	return time.Since(f.job.started) > patienceFactor*f.slowest
 }
 
-// patienceFactor is in multiples of the hedge delay.
+// patienceFactor is in multiples of the longest hedge delay of the fan-out.
 const patienceFactor = 6
 
 // hedgeBudget bounds hedges to a share of the sub-queries that are needed.
--- a/pollen/pollenquery/scores.go
+++ b/pollen/pollenquery/scores.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	// initialHedgeDelay is used until enough answers of a service were seen.
-	initialHedgeDelay = 50 * time.Millisecond
+	// initialTypical stands for the answer time of a server that is not known yet.
+	initialTypical    = 30 * time.Millisecond
 	minimumHedgeDelay = time.Millisecond
-	// sampleWindow answers of a service decide its hedge delay.
-	sampleWindow  = 256
-	minimumSample = 32
-	// hedgePercentile of a service's answer times is its hedge delay.
+	// sampleWindow answers of all servers, each in multiples of its server's typical time, decide the hedge delay.
+	sampleWindow = 1024
+	// resampleEvery answers the percentile is taken again.
+	resampleEvery = 64
+	// hedgePercentile of those multiples is the age, in typical times, at which a sub-query is hedged.
 	hedgePercentile = 97
+	initialMultiple = 2.5
 	// failurePenalty is added to the answer time of a server that failed, and halves with each failurePenaltyTime.
 	failurePenalty     = 500 * time.Millisecond
 	failurePenaltyTime = 500 * time.Millisecond
@@ -27,28 +29,25 @@
 
 // scores ranks backend servers by what this root saw of them.
 type scores struct {
-	mu       sync.Mutex
-	servers  map[string]*serverScore
-	services map[string]*serviceSample
+	mu      sync.Mutex
+	servers map[string]*serverScore
+	// multiples are the newest answer times; one root sees too few of a single service to tell slow from usual.
+	multiples []float64
+	next      int
+	multiple  float64
 }
 
 // serverScore is what this root saw of one backend server.
 type serverScore struct {
 	outstanding int
 	latency     time.Duration
+	typical     time.Duration
 	failedAt    time.Time
 	warm        bool
 }
 
-// serviceSample holds the newest answer times of one service.
-type serviceSample struct {
-	latencies []time.Duration
-	next      int
-	delay     time.Duration
-}
-
 func newScores() *scores {
-	return &scores{servers: make(map[string]*serverScore), services: make(map[string]*serviceSample)}
+	return &scores{servers: make(map[string]*serverScore), multiple: initialMultiple}
 }
 
 func (s *scores) start(id string) {
@@ -57,17 +56,22 @@
 	s.server(id).outstanding++
 }
 
-func (s *scores) finish(id, service string, answer *pollenmessage.SubAnswer, latency time.Duration) {
+func (s *scores) finish(id string, answer *pollenmessage.SubAnswer, latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server := s.server(id)
 	server.outstanding--
 	server.warm = answer.Warm
+	if answer.Typical > 0 {
+		server.typical = answer.Typical
+	}
 	switch {
 	case answer.Outcome == pollenschema.Outcome_OUTCOME_DONE:
 		server.failedAt = time.Time{}
 		server.latency += (latency - server.latency) / 4
-		s.sample(service).add(latency)
+		if server.typical > 0 {
+			s.sampleLocked(float64(latency) / float64(server.typical))
+		}
 	case answer.Reason != pollenschema.Reason_REASON_DEADLINE && answer.Reason != pollenschema.Reason_REASON_CANCELLED:
 		server.failedAt = time.Now()
 	}
@@ -94,11 +98,15 @@
 	return s.server(id).warm
 }
 
-// hedgeDelay returns how old a sub-query of a service must be before it is hedged.
-func (s *scores) hedgeDelay(service string) time.Duration {
+// hedgeDelay returns how old a sub-query to a server must be before it is hedged.
+func (s *scores) hedgeDelay(id string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sample(service).delay
+	typical := s.server(id).typical
+	if typical == 0 {
+		typical = initialTypical
+	}
+	return max(minimumHedgeDelay, time.Duration(float64(typical)*s.multiple))
 }
 
 func (s *scores) server(id string) *serverScore {
@@ -108,24 +116,17 @@
 	return s.servers[id]
 }
 
-func (s *scores) sample(service string) *serviceSample {
-	if s.services[service] == nil {
-		s.services[service] = &serviceSample{delay: initialHedgeDelay}
-	}
-	return s.services[service]
-}
-
-func (s *serviceSample) add(latency time.Duration) {
-	if len(s.latencies) < sampleWindow {
-		s.latencies = append(s.latencies, latency)
+func (s *scores) sampleLocked(multiple float64) {
+	if len(s.multiples) < sampleWindow {
+		s.multiples = append(s.multiples, multiple)
 	} else {
-		s.latencies[s.next] = latency
+		s.multiples[s.next%sampleWindow] = multiple
 	}
-	s.next = (s.next + 1) % sampleWindow
-	if s.next%minimumSample == 0 {
-		sorted := slices.Clone(s.latencies)
+	s.next++
+	if s.next%resampleEvery == 0 {
+		sorted := slices.Clone(s.multiples)
 		slices.Sort(sorted)
-		s.delay = max(minimumHedgeDelay, sorted[len(sorted)*hedgePercentile/100])
+		s.multiple = sorted[len(sorted)*hedgePercentile/100]
 	}
 }
 
--- a/pollen/pollentraffic/tally.go
+++ b/pollen/pollentraffic/tally.go
@@ -27,6 +27,7 @@
 // classTally counts the requests of one class.
 type classTally struct {
 	requests   int
+	whole      int
 	actions    int
 	done       int
 	notRun     int
@@ -42,9 +43,11 @@
 // Summary is what came back for one class, or for all of them.
 type Summary struct {
 	Requests int
-	Done     int
-	NotRun   int
-	Unknown  int
+	// Whole counts requests that are done and cover every shard.
+	Whole   int
+	Done    int
+	NotRun  int
+	Unknown int
 	// Failed counts requests without any response.
 	Failed int
 	// Untruthful counts answers whose rows, snapshot and coverage do not agree.
@@ -159,6 +162,9 @@
 	switch response.Outcome {
 	case pollenschema.Outcome_OUTCOME_DONE:
 		c.done++
+		if coverage.GetCovered() == coverage.GetTotal() {
+			c.whole++
+		}
 		if !truthful(request, response) {
 			c.untruthful++
 		}
@@ -183,6 +189,7 @@
 
 func (c *classTally) merge(other *classTally) {
 	c.requests += other.requests
+	c.whole += other.whole
 	c.actions += other.actions
 	c.done += other.done
 	c.notRun += other.notRun
@@ -199,7 +206,7 @@
 
 func (c *classTally) summary() Summary {
 	s := Summary{
-		Requests: c.requests, Done: c.done, NotRun: c.notRun, Unknown: c.unknown, Failed: c.failed, Untruthful: c.untruthful,
+		Requests: c.requests, Whole: c.whole, Done: c.done, NotRun: c.notRun, Unknown: c.unknown, Failed: c.failed, Untruthful: c.untruthful,
 		P50: c.quantile(50), P99: c.quantile(99), P999: c.quantile(99.9), Reasons: make(map[string]int),
 	}
 	if c.shards > 0 {
--- a/pollenbench/demo.go
+++ b/pollenbench/demo.go
@@ -149,14 +149,14 @@
 	ordered := time.Now()
 	d.say("zone out", "%s", zone)
 	time.Sleep(zoneOutTime)
-	last, err := d.lastWork(ctx, zone)
+	last, err := lastWork(ctx, d.fleet, zone)
 	if err != nil {
 		return &demoError{Step: "ledger", Err: err}
 	}
 	d.say("zone out", "last new work in %s %v after the change was accepted", zone, last.Sub(ordered).Round(time.Millisecond))
 	d.sayTally("while out")
 	time.Sleep(time.Second)
-	later, err := d.lastWork(ctx, zone)
+	later, err := lastWork(ctx, d.fleet, zone)
 	if err != nil {
 		return &demoError{Step: "ledger", Err: err}
 	}
@@ -172,24 +172,6 @@
 	return nil
 }
 
-// lastWork returns when a backend server of a zone was last given a request.
-func (d *demo) lastWork(ctx context.Context, zone string) (time.Time, error) {
-	var last time.Time
-	for _, s := range d.fleet.Servers {
-		if s.Zone != zone || d.fleet.Host(s.Name).Ended() {
-			continue
-		}
-		ledger, err := d.fleet.Ledger(ctx, s.Name)
-		if err != nil {
-			return last, err
-		}
-		if ledger.LastWork.After(last) {
-			last = ledger.LastWork
-		}
-	}
-	return last, nil
-}
-
 // report prints the last table and judges the invariants.
 func (d *demo) report(ctx context.Context) error {
 	counters, err := d.fleet.Counters(ctx)
--- a/pollenbench/fleet.go
+++ b/pollenbench/fleet.go
@@ -20,7 +20,7 @@
 )
 
 // startFleet starts a firm's fleet with its services created; the returned function ends it, whatever the error.
-func startFleet(ctx context.Context, programs, firmName string, instances int) (*pollenfleet.Fleet, *pollenfirm.Firm, func(), error) {
+func startFleet(ctx context.Context, programs, firmName string, instances int, baseline string) (*pollenfleet.Fleet, *pollenfirm.Firm, func(), error) {
 	nothing := func() {}
 	firm, err := pollenfirm.ByName(firmName)
 	if err != nil {
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, nil, nothing, &demoError{Step: "directory", Err: err}
 	}
-	config := pollenfleet.Config{Firm: firm, Programs: programs, Directory: directory, Instances: instances, ColdTime: benchColdTime}
+	config := pollenfleet.Config{Firm: firm, Programs: programs, Directory: directory, Instances: instances, ColdTime: benchColdTime, Baseline: baseline}
 	if instances > largeFleet {
 		config.StoreWritesPerSecond, config.StoreReadsPerSecond = liftedStore, liftedStore
 	}
@@ -58,3 +58,21 @@
 	}
 	return callers
 }
+
+// lastWork returns when a backend server of a zone was last given a request.
+func lastWork(ctx context.Context, fleet *pollenfleet.Fleet, zone string) (time.Time, error) {
+	var last time.Time
+	for _, s := range fleet.Servers {
+		if s.Zone != zone || fleet.Host(s.Name).Ended() {
+			continue
+		}
+		ledger, err := fleet.Ledger(ctx, s.Name)
+		if err != nil {
+			return last, err
+		}
+		if ledger.LastWork.After(last) {
+			last = ledger.LastWork
+		}
+	}
+	return last, nil
+}
--- a/pollenbench/main.go
+++ b/pollenbench/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	var programs, firm string
+	var programs, firm, out string
 	var seed uint64
 	instances := []int{9, 30, 100}
 	os.Exit(pollencommand.Main(
@@ -28,6 +28,26 @@
 			},
 			Run: func(ctx context.Context, _ []string) error { return runDemo(ctx, programs, firm, seed) },
 		},
+		&pollencommand.Command{
+			CommandName: "experiment",
+			Summary:     "run named experiments, each beside its baseline",
+			Help:        "experiment -programs DIRECTORY [-firm NAME] NAME...\n\nRuns experiments against real processes over loopback, the naive policy first, and prints a line for each figure.\n\n" + describeExperiments(),
+			Flags: func(f *flag.FlagSet) {
+				f.StringVar(&programs, "programs", "bin", "`directory` of the built programs")
+				f.StringVar(&firm, "firm", "vunivalu", "firm: vunivalu or dunhlyja")
+			},
+			Run: func(ctx context.Context, names []string) error { return runNamed(ctx, programs, firm, names) },
+		},
+		&pollencommand.Command{
+			CommandName: "measure",
+			Summary:     "run all experiments for both firms and write the report",
+			Help:        "measure -programs DIRECTORY -out DIRECTORY\n\nWrites MEASURES.md with its plots.",
+			Flags: func(f *flag.FlagSet) {
+				f.StringVar(&programs, "programs", "bin", "`directory` of the built programs")
+				f.StringVar(&out, "out", "docs", "`directory` of the report")
+			},
+			Run: func(ctx context.Context, _ []string) error { return runMeasure(ctx, programs, out) },
+		},
 		&pollencommand.Command{
 			CommandName: "slopes",
 			Summary:     "measure how the cost of control grows",
--- a/pollenbench/slopes.go
+++ b/pollenbench/slopes.go
@@ -151,7 +151,7 @@
 
 // trafficSlopes measures what a sub-query costs the instances, at three rates.
 func trafficSlopes(ctx context.Context, programs string) error {
-	fleet, firm, closeFleet, err := startFleet(ctx, programs, "vunivalu", demoInstances)
+	fleet, firm, closeFleet, err := startFleet(ctx, programs, "vunivalu", demoInstances, "")
 	defer closeFleet()
 	if err != nil {
 		return err
@@ -177,7 +177,7 @@
 }
 
 func fleetSlope(ctx context.Context, programs string, instances int) error {
-	fleet, _, closeFleet, err := startFleet(ctx, programs, "vunivalu", instances)
+	fleet, _, closeFleet, err := startFleet(ctx, programs, "vunivalu", instances, "")
 	defer closeFleet()
 	if err != nil {
 		return err
