Give up early on work that cannot be in time, and take over sooner

Takeover took 3.25 s: the lease, and then roots that passed the servers over for a failure that had been their owner's.

Change: no reserved slot, since the queue puts urgent work first; queries that are not urgent end as not run once all replicas have refused for lack of time; a fiftieth of the timeout is kept for the answer. A failure does not count any longer once a server has another owner; the lease is 1.5 s.

--- a/pollen/pollencontrol/lease.go
+++ b/pollen/pollencontrol/lease.go
@@ -13,10 +13,10 @@
 
 const (
 	// LeaseTime is how long the store keeps an instance's keys without a renewal.
-	LeaseTime = 2 * time.Second
+	LeaseTime = 1500 * time.Millisecond
 	// leaseMargin makes the holder's own deadline end before the store's.
 	leaseMargin = 200 * time.Millisecond
-	renewTime   = 500 * time.Millisecond
+	renewTime   = 400 * time.Millisecond
 	// sharedTime is how long after a failed renewal the holder takes the store to be down.
 	sharedTime = 1500 * time.Millisecond
 )
--- a/pollen/pollenlimit/line.go
+++ b/pollen/pollenlimit/line.go
@@ -72,13 +72,12 @@
 	config  Config
 	machine *pollenchart.Machine
 
-	mu         sync.Mutex
-	limit      int
-	inFlight   int
-	queue      queue
-	ramp       ramp
-	bootID     string
-	lastUrgent time.Time
+	mu       sync.Mutex
+	limit    int
+	inFlight int
+	queue    queue
+	ramp     ramp
+	bootID   string
 	// lastAnswer is when the server last gave a whole answer.
 	lastAnswer time.Time
 	failures   int
@@ -95,9 +94,6 @@
 // It returns a *Refusal when it may not; nothing was sent then. The permit must be finished.
 func (l *Line) Acquire(ctx context.Context, work Work) (*Permit, error) {
 	l.mu.Lock()
-	if work.Class == pollenschema.Class_CLASS_URGENT {
-		l.lastUrgent = time.Now()
-	}
 	if refusal := l.refuseLocked(work); refusal != nil {
 		l.mu.Unlock()
 		return nil, refusal
@@ -175,8 +171,6 @@
 	maximumQueuePerSlot = 32
 	// idleTime without an answer makes the next request a trial of the server.
 	idleTime = 300 * time.Millisecond
-	// urgentMemory is how long a slot stays reserved after urgent work was seen.
-	urgentMemory = time.Second
 	// progressFactor is in multiples of the server's median answer time.
 	progressFactor  = 25
 	minimumProgress = 250 * time.Millisecond
@@ -256,9 +250,6 @@
 	now := time.Now()
 	for len(l.queue) > 0 && l.inFlight < allowed {
 		w := l.queue[0]
-		if l.reservedLocked(w, allowed, now) {
-			return
-		}
 		l.queue.pop()
 		if !w.work.Deadline.After(now) {
 			w.ready <- &Refusal{Reason: pollenschema.Reason_REASON_DEADLINE, Detail: "deadline passed in the queue"}
@@ -271,13 +262,6 @@
 	}
 }
 
-// reservedLocked keeps the last slot free of archive work while urgent work is about.
-func (l *Line) reservedLocked(w *waiter, allowed int, now time.Time) bool {
-	return w.work.Class == pollenschema.Class_CLASS_ARCHIVE &&
-		allowed > 1 && l.inFlight == allowed-1 &&
-		now.Sub(l.lastUrgent) < urgentMemory
-}
-
 func (l *Line) refuseAllLocked(refusal *Refusal) {
 	for _, w := range l.queue {
 		w.ready <- refusal
--- a/pollen/pollenquery/fanout.go
+++ b/pollen/pollenquery/fanout.go
@@ -68,7 +68,9 @@
 	number   int
 	// slowest is the longest hedge delay of the flights so far.
 	slowest time.Duration
-	sealed  bool
+	// sent is set once a sub-query may have reached a backend server.
+	sent   bool
+	sealed bool
 }
 
 // shardState is what the fan-out knows of one shard.
@@ -79,9 +81,11 @@
 	// flights counts the sub-queries under way that ask for the shard.
 	flights int
 	tried   map[string]bool
-	// refused counts replicas that do not hold the snapshot.
+	// refused are the replicas that do not hold the snapshot.
 	refused map[string]bool
-	reason  pollenschema.Reason
+	// overloaded are the replicas that cannot answer within the remaining time.
+	overloaded map[string]bool
+	reason     pollenschema.Reason
 }
 
 // flight is one sub-query under way.
@@ -109,7 +113,7 @@
 	f.arrivals = make(chan arrival)
 	for i := range snapshot.Shards {
 		shard := &snapshot.Shards[i]
-		f.shards[shard.Name] = &shardState{shard: shard, tried: make(map[string]bool), refused: make(map[string]bool)}
+		f.shards[shard.Name] = &shardState{shard: shard, tried: make(map[string]bool), refused: make(map[string]bool), overloaded: make(map[string]bool)}
 	}
 	return f
 }
@@ -125,7 +129,7 @@
 	f.dispatchOpen(ctx)
 	hedge := time.NewTimer(f.hedgeSlow(ctx))
 	defer hedge.Stop()
-	for f.open > 0 && ctx.Err() == nil && !f.hopeless() {
+	for f.open > 0 && ctx.Err() == nil && !f.hopeless() && !f.overloaded() {
 		select {
 		case <-ctx.Done():
 		case a := <-f.arrivals:
@@ -166,6 +170,21 @@
 	return false
 }
 
+// overloaded reports whether nothing is under way and every open shard was refused for lack of time by all replicas.
+//
+// Trying on would only add to the overload. Urgent requests try on, since others make way for them.
+func (f *fanout) overloaded() bool {
+	if len(f.flights) > 0 || f.job.request.Class == pollenschema.Class_CLASS_URGENT {
+		return false
+	}
+	for _, s := range f.shards {
+		if !s.covered && len(s.overloaded) < len(s.shard.Servers) {
+			return false
+		}
+	}
+	return true
+}
+
 // dispatchOpen sends sub-queries for all open shards that none is under way for.
 func (f *fanout) dispatchOpen(ctx context.Context) {
 	plan := newPlan(f.job.root.scores)
@@ -212,7 +231,7 @@
 	go func() {
 		defer cancel()
 		answer := root.config.Sender.Send(flightCtx, t.owner, q)
-		root.scores.finish(t.server.ID(), &answer, time.Since(fl.started))
+		root.scores.finish(t.server.ID(), t.owner.Incarnation, &answer, time.Since(fl.started))
 		root.config.Metrics.Sends(answer.Sends)
 		select {
 		case f.arrivals <- arrival{flight: fl, answer: answer}:
@@ -228,6 +247,7 @@
 	pollencheck.Assert(!f.sealed, pollencheck.TruthfulCoverage, "answer taken in after the merge was sealed")
 	fl := a.flight
 	delete(f.flights, fl.number)
+	f.sent = f.sent || a.answer.Sends > 0 || a.answer.Outcome == pollenschema.Outcome_OUTCOME_UNKNOWN
 	for _, s := range fl.shards {
 		s.flights--
 	}
@@ -261,8 +281,11 @@
 			continue
 		}
 		s.reason = reason
-		if reason == pollenschema.Reason_REASON_NOT_HELD {
+		switch reason {
+		case pollenschema.Reason_REASON_NOT_HELD:
 			s.refused[fl.target.server.Name] = true
+		case pollenschema.Reason_REASON_OVERLOAD:
+			s.overloaded[fl.target.server.Name] = true
 		}
 	}
 }
@@ -322,6 +345,9 @@
 	}
 	if coverage.Covered == 0 {
 		response.Outcome = pollenschema.Outcome_OUTCOME_UNKNOWN
+		if !f.sent && len(f.flights) == 0 {
+			response.Outcome = pollenschema.Outcome_OUTCOME_NOT_RUN
+		}
 		response.Reason = coverage.Missing[0].Reason
 		response.Detail = "no shard was covered"
 	}
--- a/pollen/pollenquery/plan.go
+++ b/pollen/pollenquery/plan.go
@@ -44,7 +44,7 @@
 			reason = pollenschema.Reason_REASON_UNSPECIFIED
 			continue
 		}
-		score := p.scores.score(id) * float64(1+p.shardsOf(id))
+		score := p.scores.score(id, owner.Incarnation) * float64(1+p.shardsOf(id))
 		if bestScore < 0 || score < bestScore {
 			best, bestScore = target{server: server, owner: owner}, score
 		}
--- a/pollen/pollenquery/root.go
+++ b/pollen/pollenquery/root.go
@@ -90,8 +90,10 @@
 }
 
 const (
-	// mergeMargin is kept of the caller's timeout for merging and answering.
+	// mergeMargin, and one part in mergeShare if that is more, is kept of the caller's timeout for merging and
+	// answering.
 	mergeMargin = 3 * time.Millisecond
+	mergeShare  = 50
 	// maximumTimeout bounds the caller's timeout.
 	maximumTimeout = 30 * time.Second
 	// maximumPayload bounds the caller's payload, in bytes.
@@ -151,7 +153,7 @@
 		return notRun(pollenschema.Reason_REASON_INVALID, "field Key: an action needs one")
 	}
 	j.service = service
-	j.deadline = j.started.Add(timeout - mergeMargin)
+	j.deadline = j.started.Add(timeout - max(mergeMargin, timeout/mergeShare))
 	return nil
 }
 
--- a/pollen/pollenquery/scores.go
+++ b/pollen/pollenquery/scores.go
@@ -43,6 +43,8 @@
 	latency     time.Duration
 	typical     time.Duration
 	failedAt    time.Time
+	// failedOwner is the incarnation that owned the server when it failed.
+	failedOwner string
 	warm        bool
 }
 
@@ -56,7 +58,7 @@
 	s.server(id).outstanding++
 }
 
-func (s *scores) finish(id string, answer *pollenmessage.SubAnswer, latency time.Duration) {
+func (s *scores) finish(id, owner string, answer *pollenmessage.SubAnswer, latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server := s.server(id)
@@ -73,12 +75,14 @@
 			s.sampleLocked(float64(latency) / float64(server.typical))
 		}
 	case answer.Reason != pollenschema.Reason_REASON_DEADLINE && answer.Reason != pollenschema.Reason_REASON_CANCELLED:
-		server.failedAt = time.Now()
+		server.failedAt, server.failedOwner = time.Now(), owner
 	}
 }
 
 // score returns the expected answer time of a server, in seconds; lower is better.
-func (s *scores) score(id string) float64 {
+//
+// A failure does not count any longer once the server has another owner: it may have been the owner's.
+func (s *scores) score(id, owner string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	server := s.server(id)
@@ -86,7 +90,7 @@
 	if !server.warm {
 		expected *= 2
 	}
-	if age := time.Since(server.failedAt); age < 8*failurePenaltyTime {
+	if age := time.Since(server.failedAt); server.failedOwner == owner && age < 8*failurePenaltyTime {
 		expected += failurePenalty.Seconds() / float64(int(1)<<int(age/failurePenaltyTime))
 	}
 	return expected
