Ask the platform's instance list, count bad input, and close a gap after isolation

An instance that starts in an outage knew only its seeds. Errors at the callers' and operators' edge were typed but not counted.

Change: an adapter for the list with a lagging stand-in; a counter of HTTP errors and tests of bad input against a real process; the store's word counts once the replica shows the instance's own record, and peers whose record went lately count among those to be heard; a contact refreshes a peer that was cut off. A server takes hedges once its answers are steady, before its limit has reached the slots. An archive query that has part of its answer goes on trying.

A half-closed request is answered as cancelled, not as invalid as the test first expected.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	bin/pollenbench demo -programs bin -firm $(FIRM)
 
 proof:
+	@mkdir -p bin
 	@cd pollen && go test ./pollentrial -run TestInvariant -timeout 0 -proof.seconds=$$(($(SECONDS)/10)) -rapid.seed=$$(date +%s) -v > ../bin/proof.log 2>&1; \
 	status=$$?; grep '^Proof' ../bin/proof.log; \
 	[ $$status -eq 0 ] || grep -E 'first:|never met|panic:' ../bin/proof.log; exit $$status
--- a/pollen/pollencontrol/apply.go
+++ b/pollen/pollencontrol/apply.go
@@ -205,14 +205,14 @@
 		})
 	}
 	group.Wait()
-	a.awaitStrangers(ctx, stored)
+	a.awaitUnknownInstances(ctx, stored)
 	return applied
 }
 
-// awaitStrangers waits until instances that this one has not met yet cannot serve an older revision any longer.
+// awaitUnknownInstances waits until instances that this one has not met yet cannot serve an older revision any longer.
 //
 // An instance that has just started may meet others whose records went in an outage of the store.
-func (a *Applier) awaitStrangers(ctx context.Context, stored time.Time) {
+func (a *Applier) awaitUnknownInstances(ctx context.Context, stored time.Time) {
 	if stored.Sub(a.Started) > isolationTime+PeerSilentTime {
 		return
 	}
--- a/pollen/pollencontrol/core.go
+++ b/pollen/pollencontrol/core.go
@@ -11,6 +11,7 @@
 	"pollenline.example/pollen/pollencheck"
 	"pollenline.example/pollen/pollenconfig"
 	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/polleninventory"
 	"pollenline.example/pollen/pollenpeer"
 	"pollenline.example/pollen/pollenreplica"
 	"pollenline.example/pollen/pollenroute"
@@ -35,6 +36,11 @@
 	InForce(ctx context.Context, i pollenroute.Instance, request pollenpeer.InForceRequest) (pollenpeer.InForceReply, error)
 }
 
+// Inventory is the platform's list of instances, which lags.
+type Inventory interface {
+	Instances(ctx context.Context) ([]polleninventory.Entry, error)
+}
+
 // Traffic is the part of the owner role that control waits for.
 type Traffic interface {
 	// Sending returns the number of sub-queries of a group that are being sent.
@@ -61,6 +67,8 @@
 	Log  *pollenevent.Log
 	// Seeds are instances to ask before any is known, as when the store is down.
 	Seeds []pollenroute.Instance
+	// Inventory, if set, names further seeds.
+	Inventory Inventory
 }
 
 // Core is the control state; only the actor calls Receive.
@@ -153,6 +161,8 @@
 		c.pinged(m)
 	case Contact:
 		c.contact(m)
+	case listed:
+		c.listed(m)
 	case Stop:
 		c.stop()
 	case Unreferenced:
@@ -189,6 +199,7 @@
 func (c *Core) tick() {
 	c.tickLease()
 	c.tickFollow()
+	c.tickInventory()
 	c.tickPeers()
 	c.tickGroups()
 	c.tickIsolation()
--- a/pollen/pollencontrol/follow.go
+++ b/pollen/pollencontrol/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/polleninventory"
 	"pollenline.example/pollen/pollenpeer"
 	"pollenline.example/pollen/pollenroute"
 	"pollenline.example/pollen/pollenstore"
@@ -33,6 +35,9 @@
 	// failed says when sources failed; they are passed over for avoidTime.
 	failed map[string]time.Time
 	source string
+	// listing is set while the inventory is being asked, and nextList is when it may be asked again.
+	listing  bool
+	nextList time.Time
 }
 
 // passed reports whether a source failed lately.
@@ -184,6 +189,44 @@
 	return names[:min(watchersPerZone, len(names))]
 }
 
+// listed is the result of asking the platform's inventory.
+type listed struct {
+	entries []polleninventory.Entry
+	err     error
+}
+
+// tickInventory asks the platform for seeds while nothing could be read from the store.
+func (c *Core) tickInventory() {
+	f, now := &c.follow, time.Now()
+	if c.config.Inventory == nil || c.replicaRead || !f.passed(storeSource) || f.listing || now.Before(f.nextList) {
+		return
+	}
+	f.listing = true
+	f.nextList = now.Add(avoidTime)
+	c.async(callTimeout, func(ctx context.Context) any {
+		entries, err := c.config.Inventory.Instances(ctx)
+		return listed{entries: entries, err: err}
+	})
+}
+
+// listed takes the inventory's instances as seeds; whether they live shows when they are asked.
+func (c *Core) listed(m listed) {
+	c.follow.listing = false
+	if m.err != nil {
+		c.config.Log.Add(pollenevent.KindStore, c.config.Self.Name, m.err.Error())
+		return
+	}
+	known := make(map[netip.AddrPort]bool)
+	for _, seed := range c.config.Seeds {
+		known[seed.Peer] = true
+	}
+	for _, entry := range m.entries {
+		if entry.Name != c.config.Self.Name && !known[entry.PeerAddress] {
+			c.config.Seeds = append(c.config.Seeds, pollenroute.Instance{Name: "seed " + entry.Name, Peer: entry.PeerAddress})
+		}
+	}
+}
+
 func (c *Core) seed() (pollenroute.Instance, bool) {
 	if len(c.config.Seeds) == 0 {
 		return pollenroute.Instance{}, false
--- a/pollen/pollencontrol/groups.go
+++ b/pollen/pollencontrol/groups.go
@@ -128,15 +128,19 @@
 }
 
 // preferOwners finds the preferred owners of the groups that this instance owns or should own.
+//
+// A group whose last backend server was retired may still be owned, and is to be released when the instance leaves.
 func (c *Core) preferOwners(table *pollenroute.Table) {
 	c.preferred = make(map[pollenroute.Group]pollenroute.Instance)
 	candidates := table.Candidates()
 	for _, group := range table.Occupied {
-		preferred, _ := candidates.Preferred(group)
-		if _, concerned := c.groups[group]; concerned || preferred.Incarnation == c.config.Self.Incarnation {
+		if preferred, _ := candidates.Preferred(group); preferred.Incarnation == c.config.Self.Incarnation {
 			c.preferred[group] = preferred
 		}
 	}
+	for group := range c.groups {
+		c.preferred[group], _ = candidates.Preferred(group)
+	}
 }
 
 func (c *Core) group(group pollenroute.Group) *groupState {
--- a/pollen/pollencontrol/lease.go
+++ b/pollen/pollencontrol/lease.go
@@ -33,6 +33,11 @@
 	// registered is set while the instance's record stands under the lease.
 	registered  bool
 	registering bool
+	// recordSeen is set once the replica shows the record under this lease; the replica then holds every change that
+	// was made before others could know of the record.
+	recordSeen bool
+	// recordedUntil is until when others certainly know this instance by its record.
+	recordedUntil time.Time
 }
 
 // leaseGranted is the result of asking for a lease.
@@ -92,7 +97,7 @@
 	c.lease.id = m.lease.ID
 	c.leaseID.Store(m.lease.ID)
 	c.lease.deadline = m.sent.Add(m.lease.Duration - leaseMargin)
-	c.lease.registered = false
+	c.lease.registered, c.lease.recordSeen = false, false
 	c.fireLease(eventGranted, fmt.Sprintf("lease %d", m.lease.ID))
 	c.register()
 }
@@ -108,6 +113,9 @@
 	case m.err == nil:
 		l.deadline = m.sent.Add(LeaseTime - leaseMargin)
 		l.sharedUntil = time.Time{}
+		if l.recordSeen {
+			l.recordedUntil = l.deadline
+		}
 		c.fireLease(eventRenewed, "the store answers")
 		c.register()
 	case errors.As(m.err, &gone):
--- a/pollen/pollencontrol/peers.go
+++ b/pollen/pollencontrol/peers.go
@@ -101,7 +101,13 @@
 // contact takes in an instance that called and has no record that this one knows.
 func (c *Core) contact(m Contact) {
 	p, known := c.peers[m.Instance.Name]
-	if known && (p.gone.IsZero() || p.instance.Incarnation == m.Instance.Incarnation) {
+	if known && p.instance.Incarnation == m.Instance.Incarnation {
+		// It was cut off and is back; its acknowledgements are awaited from now on.
+		p.heard = time.Now()
+		c.dirty = true
+		return
+	}
+	if known && p.gone.IsZero() {
 		return
 	}
 	p = c.addPeer(m.Instance.Name, m.Instance.Incarnation)
@@ -142,6 +148,8 @@
 	}
 	if event.Entry.Lease == c.lease.id {
 		c.lease.registered = record.Leaving == c.config.Self.Leaving
+		c.lease.recordSeen = true
+		c.lease.recordedUntil = c.lease.deadline
 		c.fire(eventRegistered, "record stored")
 	}
 }
@@ -210,8 +218,9 @@
 // heardUntil returns until when at least half of the other instances count as heard; any is set if there are others.
 func (c *Core) heardUntil() (until time.Time, any bool) {
 	var heard []time.Time
-	for name, p := range c.peers {
-		if _, stands := c.records[name]; p.sampled && (stands || !p.silent()) {
+	for _, p := range c.peers {
+		// A peer whose record went lately counts: it may be the other side of a cut.
+		if p.sampled && !p.leaving {
 			heard = append(heard, p.heard)
 		}
 	}
@@ -250,7 +259,7 @@
 func (c *Core) freshUntil() time.Time {
 	c.noteBehind()
 	now := time.Now()
-	byStore := earlier(c.freshAt.Add(isolationTime), c.lease.deadline.Add(unrecordedTime))
+	byStore := earlier(c.freshAt.Add(isolationTime), c.lease.recordedUntil.Add(unrecordedTime))
 	if !c.replicaRead || now.Before(byStore) {
 		return byStore
 	}
--- a/pollen/pollenfakehost/servers.go
+++ b/pollen/pollenfakehost/servers.go
@@ -17,9 +17,9 @@
 
 // ServersSettings are the settings of a process with stand-ins for backend servers.
 type ServersSettings struct {
-	// SteeringAddress takes faults and gives ledgers under the path "/NAME/stand-in/".
-	SteeringAddress netip.AddrPort
-	Servers         []ServerSettings
+	// ControlAddress takes faults and gives ledgers under the path "/NAME/stand-in/".
+	ControlAddress netip.AddrPort
+	Servers        []ServerSettings
 }
 
 // ServerSettings are the settings of one stand-in for a backend server.
@@ -38,7 +38,7 @@
 
 // Check returns a *pollensettings.FieldError for the first wrong value.
 func (s *ServersSettings) Check() error {
-	if err := pollensettings.RequireAddress("SteeringAddress", s.SteeringAddress); err != nil {
+	if err := pollensettings.RequireAddress("ControlAddress", s.ControlAddress); err != nil {
 		return err
 	}
 	for n, server := range s.Servers {
@@ -58,7 +58,7 @@
 
 // RunServers serves stand-ins for backend servers until stop is done.
 func RunServers(stop context.Context, settings *ServersSettings) error {
-	steering := http.NewServeMux()
+	control := http.NewServeMux()
 	var group sync.WaitGroup
 	failures := make(chan error, len(settings.Servers)+1)
 	for n, s := range settings.Servers {
@@ -71,14 +71,14 @@
 		})
 		server := pollenfakeserver.New(s.config(uint64(n)))
 		prefix := "/" + s.Name
-		steering.Handle(prefix+"/", http.StripPrefix(prefix, pollenfakeserver.NewSteeringHandler(server, limited)))
+		control.Handle(prefix+"/", http.StripPrefix(prefix, pollenfakeserver.NewControlHandler(server, limited)))
 		group.Go(func() { failures <- serveUntil(stop, quiet(pollenfakeserver.NewHandler(server)), limited) })
 	}
-	listener, err := net.Listen("tcp", settings.SteeringAddress.String())
+	listener, err := net.Listen("tcp", settings.ControlAddress.String())
 	if err != nil {
-		return &ListenError{Address: settings.SteeringAddress, Err: err}
+		return &ListenError{Address: settings.ControlAddress, Err: err}
 	}
-	group.Go(func() { failures <- serveUntil(stop, &http.Server{Handler: steering}, listener) })
+	group.Go(func() { failures <- serveUntil(stop, &http.Server{Handler: control}, listener) })
 	group.Wait()
 	close(failures)
 	var all error
--- a/pollen/pollenfakeserver/handler.go
+++ b/pollen/pollenfakeserver/handler.go
@@ -10,7 +10,7 @@
 	"pollenline.example/pollen/pollenbackend"
 )
 
-// The paths by which a test bench steers a server over HTTP.
+// The paths by which a test bench controls a server over HTTP.
 const (
 	PathFaults  = "/stand-in/faults"
 	PathRestart = "/stand-in/restart"
@@ -44,8 +44,8 @@
 	return mux
 }
 
-// NewSteeringHandler lets a test bench steer a server; it is served apart, so that faults do not reach it.
-func NewSteeringHandler(server *Server, listener *Listener) http.Handler {
+// NewControlHandler lets a test bench control a server; it is served apart, so that faults do not reach it.
+func NewControlHandler(server *Server, listener *Listener) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		var faults Faults
--- a/pollen/pollenfakeserver/server.go
+++ b/pollen/pollenfakeserver/server.go
@@ -56,7 +56,7 @@
 	Runs map[string]int
 	// Peak is the most requests that ran at once.
 	Peak int
-	// Overloads counts how often the server was given more than it could bear, and toppled, although it had shown
+	// Overloads counts how often the server was given more than it could bear, and restarted, although it had shown
 	// that it was cold or had been idle.
 	Overloads int
 	// OverloadedAt is when the last overload was counted.
@@ -74,15 +74,15 @@
 
 // Server is one backend server in memory.
 type Server struct {
-	config  Config
-	mu      sync.Mutex
-	random  *rand.Rand
-	faults  Faults
-	ledger  Ledger
-	running int
-	bootID  string
-	warmAt  time.Time
-	toppled chan struct{}
+	config    Config
+	mu        sync.Mutex
+	random    *rand.Rand
+	faults    Faults
+	ledger    Ledger
+	running   int
+	bootID    string
+	warmAt    time.Time
+	restarted chan struct{}
 	// signAt is when the newest start could first be known: a broken request or an answer with the new boot id.
 	signAt time.Time
 	// busyAt is when the server last had work before the newest start.
@@ -149,7 +149,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-work.toppled:
+	case <-work.restarted:
 		return nil, ErrBroken
 	case <-ctx.Done():
 		return nil, ctx.Err()
@@ -177,21 +177,21 @@
 
 // work is one request that is running.
 type work struct {
-	duration time.Duration
-	faults   Faults
-	bootID   string
-	toppled  chan struct{}
+	duration  time.Duration
+	faults    Faults
+	bootID    string
+	restarted chan struct{}
 }
 
 func (s *Server) bootLocked() {
-	if s.toppled != nil {
-		close(s.toppled)
+	if s.restarted != nil {
+		close(s.restarted)
 	}
 	s.signAt, s.busyAt = time.Time{}, s.ledger.LastWork
 	if s.running > 0 {
 		s.signAt, s.busyAt = time.Now(), time.Now()
 	}
-	s.toppled = make(chan struct{})
+	s.restarted = make(chan struct{})
 	s.ledger.Boots++
 	s.ledger.BootedAt = time.Now()
 	s.ledger.FullSince = time.Time{}
@@ -245,7 +245,7 @@
 	if request.Action != "" {
 		s.ledger.Runs[request.Action]++
 	}
-	return nil, &work{duration: s.durationLocked(request), faults: s.faults, bootID: s.bootID, toppled: s.toppled}, nil
+	return nil, &work{duration: s.durationLocked(request), faults: s.faults, bootID: s.bootID, restarted: s.restarted}, nil
 }
 
 // overloadLocked counts an overload, apart when the sender could not know of the cold start.
--- a/pollen/pollenfleet/fleet.go
+++ b/pollen/pollenfleet/fleet.go
@@ -18,6 +18,7 @@
 	"pollenline.example/pollen/pollenfakestore"
 	"pollenline.example/pollen/pollenfirm"
 	"pollenline.example/pollen/polleninstance"
+	"pollenline.example/pollen/polleninventory"
 	"pollenline.example/pollen/pollenschema"
 	"pollenline.example/pollen/pollenschema/pollenschemaconnect"
 	"pollenline.example/pollen/pollensettings"
@@ -65,10 +66,12 @@
 	readyPoll            = 20 * time.Millisecond
 	callTimeout          = 8 * time.Second
 	storePort            = 7000
+	inventoryPort        = 7001
+	inventoryLag         = 10 * time.Second
 	callerPort           = 7100
 	operatorPort         = 7101
 	peerPort             = 7102
-	steeringPort         = 7200
+	controlPort          = 7200
 	serverPort           = 8000
 	hostsPerNet          = 250
 )
@@ -159,23 +162,23 @@
 
 // SetFaults puts a backend server into trouble.
 func (f *Fleet) SetFaults(ctx context.Context, server string, faults pollenfakeserver.Faults) error {
-	return f.steer(ctx, server, pollenfakeserver.PathFaults, faults, nil)
+	return f.control(ctx, server, pollenfakeserver.PathFaults, faults, nil)
 }
 
 // RestartServer sends a backend server into a cold start.
 func (f *Fleet) RestartServer(ctx context.Context, server string) error {
-	return f.steer(ctx, server, pollenfakeserver.PathRestart, struct{}{}, nil)
+	return f.control(ctx, server, pollenfakeserver.PathRestart, struct{}{}, nil)
 }
 
 // Silence makes half of a backend server's open connections silent.
 func (f *Fleet) Silence(ctx context.Context, server string) error {
-	return f.steer(ctx, server, pollenfakeserver.PathSilence, struct{}{}, nil)
+	return f.control(ctx, server, pollenfakeserver.PathSilence, struct{}{}, nil)
 }
 
 // Ledger returns what a backend server has done.
 func (f *Fleet) Ledger(ctx context.Context, server string) (pollenfakeserver.Ledger, error) {
 	var ledger pollenfakeserver.Ledger
-	err := f.steer(ctx, server, pollenfakeserver.PathLedger, struct{}{}, &ledger)
+	err := f.control(ctx, server, pollenfakeserver.PathLedger, struct{}{}, &ledger)
 	return ledger, err
 }
 
@@ -225,6 +228,17 @@
 		return err
 	}
 	f.all = append(f.all, p)
+	inventory := &pollenfakehost.InventorySettings{Address: f.address(0, 2, inventoryPort), Lag: pollensettings.Duration(inventoryLag)}
+	for n := range f.config.Instances {
+		settings := f.instanceSettings(n)
+		inventory.Instances = append(inventory.Instances, polleninventory.Entry{
+			Name: settings.Name, PeerAddress: settings.PeerAddress, State: polleninventory.StateLive,
+		})
+	}
+	if p, err = start(f.config.Directory, "inventory", f.program("pollenstandin"), "inventory", inventory); err != nil {
+		return err
+	}
+	f.all = append(f.all, p)
 	// The first server has a process of its own, so that it can be killed; the others share one in each zone.
 	if err := f.startServers(0, "server", f.Servers[:1]); err != nil {
 		return err
@@ -244,7 +258,7 @@
 }
 
 func (f *Fleet) startServers(number int, name string, servers []pollenfirm.Server) error {
-	settings := &pollenfakehost.ServersSettings{SteeringAddress: f.address(251, 1+number, steeringPort)}
+	settings := &pollenfakehost.ServersSettings{ControlAddress: f.address(251, 1+number, controlPort)}
 	for _, s := range servers {
 		settings.Servers = append(settings.Servers, pollenfakehost.ServerSettings{
 			Name: s.Name, Address: s.Address, Slots: s.Family.Slots, Connections: s.Family.Connections,
@@ -265,6 +279,12 @@
 }
 
 func (f *Fleet) startInstance(n int) error {
+	f.Settings = append(f.Settings, f.instanceSettings(n))
+	f.Instances = append(f.Instances, nil)
+	return f.Restart(n)
+}
+
+func (f *Fleet) instanceSettings(n int) *polleninstance.Settings {
 	zones := f.config.Firm.Zones
 	zone := n % len(zones)
 	settings := polleninstance.DefaultSettings()
@@ -276,9 +296,8 @@
 	settings.PeerAddress = f.address(net, host, peerPort)
 	settings.StoreAddress = f.store
 	settings.Baseline = f.config.Baseline
-	f.Settings = append(f.Settings, settings)
-	f.Instances = append(f.Instances, nil)
-	return f.Restart(n)
+	settings.InventoryAddress = f.address(0, 2, inventoryPort)
+	return settings
 }
 
 func (f *Fleet) waitListed(ctx context.Context, want int) error {
@@ -301,9 +320,9 @@
 	return err == nil && len(response.Instances) == want
 }
 
-func (f *Fleet) steer(ctx context.Context, server, path string, request, answer any) error {
+func (f *Fleet) control(ctx context.Context, server, path string, request, answer any) error {
 	host := f.hosts[server]
-	return post(ctx, fmt.Sprintf("http://%s/%s%s", host.settings.SteeringAddress, server, path), request, answer)
+	return post(ctx, fmt.Sprintf("http://%s/%s%s", host.settings.ControlAddress, server, path), request, answer)
 }
 
 func post(ctx context.Context, url string, request, answer any) error {
@@ -321,7 +340,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return &SteerError{URL: url, Status: response.StatusCode}
+		return &ControlError{URL: url, Status: response.StatusCode}
 	}
 	if answer == nil {
 		return nil
@@ -329,10 +348,10 @@
 	return json.NewDecoder(response.Body).Decode(answer)
 }
 
-// SteerError reports a stand-in that refused to be steered.
-type SteerError struct {
+// ControlError reports a stand-in that refused a command.
+type ControlError struct {
 	URL    string
 	Status int
 }
 
-func (e *SteerError) Error() string { return fmt.Sprintf("%s: HTTP status %d", e.URL, e.Status) }
+func (e *ControlError) Error() string { return fmt.Sprintf("%s: HTTP status %d", e.URL, e.Status) }
--- a/pollen/pollenfleet/fleet_test.go
+++ b/pollen/pollenfleet/fleet_test.go
@@ -43,6 +43,7 @@
 	defer fleet.Close()
 	c.Assert(fleet.Create(ctx, "v1"), qt.IsNil)
 
+	checkBadInput(ctx, c, fleet)
 	callers := make(map[string]pollentraffic.Doer)
 	for _, family := range firm.Families {
 		callers[family.Name] = fleet.Caller(family.Name, firm.Zones[0])
--- a/pollen/pollenfleet/metrics.go
+++ b/pollen/pollenfleet/metrics.go
@@ -18,6 +18,8 @@
 	Violations float64
 	// Garbled and Late count answers that were dropped.
 	Garbled, Late float64
+	// CallErrors counts calls that were answered with an HTTP error.
+	CallErrors float64
 	// CPUSeconds is the processor time of the instances.
 	CPUSeconds float64
 	// ResidentBytes and HeapBytes are the instances' memory.
@@ -41,6 +43,7 @@
 		sum.Needed += total(families["pollen_subqueries_needed_total"])
 		sum.Violations += total(families["pollen_invariant_violations_total"])
 		sum.Garbled += total(families["pollen_owner_garbled_total"]) + total(families["pollen_garbled_answers_total"])
+		sum.CallErrors += total(families["pollen_http_errors_total"])
 		sum.Late += total(families["pollen_late_answers_total"])
 		sum.CPUSeconds += total(families["process_cpu_seconds_total"])
 		sum.ResidentBytes += total(families["process_resident_memory_bytes"])
--- a/pollen/pollenfleet/process.go
+++ b/pollen/pollenfleet/process.go
@@ -46,7 +46,7 @@
 	p := &Process{Name: name, command: exec.Command(program, subcommand, "-settings", file), done: make(chan struct{})}
 	p.command.Stdout = output
 	p.command.Stderr = output
-	// A child must not outlive the process that steers it.
+	// A child must not outlive the process that controls it.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		return nil, &StartError{Name: name, Err: err}
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -19,6 +19,7 @@
 	"pollenline.example/pollen/pollencontrol"
 	"pollenline.example/pollen/pollenedge"
 	"pollenline.example/pollen/pollenevent"
+	"pollenline.example/pollen/polleninventory"
 	"pollenline.example/pollen/pollenmessage"
 	"pollenline.example/pollen/pollennaive"
 	"pollenline.example/pollen/pollenonce"
@@ -58,6 +59,8 @@
 	Settings *Settings
 	Store    pollencontrol.Store
 	Peers    Peers
+	// Inventory, if set, names instances to ask while the store is down.
+	Inventory pollencontrol.Inventory
 	// Connect returns the way to a backend server.
 	Connect func(server *pollenroute.Server) pollenowner.Backend
 	// Spawn starts the actor that holds the control state.
@@ -69,6 +72,7 @@
 	config   Config
 	settings *Settings
 	registry *prometheus.Registry
+	errors   *prometheus.CounterVec
 	events   *pollenevent.Log
 	traces   *pollenevent.Traces
 	replica  *pollenreplica.Replica
@@ -91,7 +95,7 @@
 
 // Dial returns the configuration of an instance that reaches the outside over the network.
 func Dial(settings *Settings, logger *slog.Logger) Config {
-	return Config{
+	config := Config{
 		Settings: settings,
 		Store: pollenstore.NewClient(pollenstore.ClientConfig{
 			Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(),
@@ -100,6 +104,12 @@
 		Connect: func(s *pollenroute.Server) pollenowner.Backend { return pollenbackend.NewClient(s) },
 		Spawn:   func(receive func(any)) Actor { return spawn(logger, receive) },
 	}
+	if settings.InventoryAddress.IsValid() {
+		config.Inventory = polleninventory.NewClient(polleninventory.ClientConfig{
+			Address: settings.InventoryAddress, Timeout: settings.StoreTimeout.Std(),
+		})
+	}
+	return config
 }
 
 // New puts an instance together; it does nothing until it is ticked.
@@ -115,6 +125,7 @@
 
 		ownership: pollencontrol.NewOwnership(),
 	}
+	i.errors = newErrorCounter(i.registry)
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), pollencheck.Violations, pollenpeer.Bytes)
 	self := pollencontrol.Record{
 		Name: settings.Name, Incarnation: rand.Text(), Zone: settings.Zone,
@@ -127,6 +138,7 @@
 	i.core = pollencontrol.NewCore(pollencontrol.Config{
 		Self: self, Store: config.Store, Peers: config.Peers, Traffic: i.owner, Replica: i.replica, Ownership: i.ownership,
 		Publish: i.publish, Post: i.Post, Log: i.events, Seeds: seeds(settings.SeedAddresses),
+		Inventory: config.Inventory,
 	})
 	i.actor = config.Spawn(i.core.Receive)
 	i.buildEdge(self)
--- a/pollen/polleninstance/run.go
+++ b/pollen/polleninstance/run.go
@@ -133,7 +133,7 @@
 func (i *Instance) callerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(pollenschemaconnect.NewEntryHandler(i.caller, connect.WithReadMaxBytes(maximumMessage), connect.WithCompressMinBytes(compressFrom)))
-	return newServer(mux)
+	return newServer(countErrors(mux, i.errors, "caller"))
 }
 
 func (i *Instance) operatorServer() *http.Server {
@@ -142,7 +142,7 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
-	return newServer(mux)
+	return newServer(countErrors(mux, i.errors, "operator"))
 }
 
 func newServer(handler http.Handler) *http.Server {
--- a/pollen/polleninstance/settings.go
+++ b/pollen/polleninstance/settings.go
@@ -20,6 +20,8 @@
 	PeerAddress     netip.AddrPort
 	// StoreAddress is that of the platform's key-value service.
 	StoreAddress netip.AddrPort
+	// InventoryAddress is that of the platform's list of instances, if it is to be asked for seeds.
+	InventoryAddress netip.AddrPort
 	// SeedAddresses are peer addresses to ask when the store is down at the start.
 	SeedAddresses []netip.AddrPort
 	// StoreTimeout bounds one call to the store.
--- a/pollen/pollenlimit/chart.go
+++ b/pollen/pollenlimit/chart.go
@@ -7,6 +7,7 @@
 // Events of the backend server's chart.
 const (
 	eventAnswered             pollenchart.Event = "Answered"
+	eventSteady               pollenchart.Event = "Steady"
 	eventFull                 pollenchart.Event = "Full"
 	eventBootChanged          pollenchart.Event = "BootChanged"
 	eventConnectionLost       pollenchart.Event = "ConnectionLost"
--- a/pollen/pollenlimit/permit.go
+++ b/pollen/pollenlimit/permit.go
@@ -104,6 +104,7 @@
 	if !l.machine.Has(traitRamps) || !l.ramp.settled(time.Now()) {
 		return
 	}
+	l.fireLocked(eventSteady, "answers are steady")
 	if l.limit < l.config.Slots {
 		l.limit++
 		l.config.Log.Add(pollenevent.KindServerLimit, l.config.ID, fmt.Sprintf("answers are steady: limit %d of %d", l.limit, l.config.Slots))
--- a/pollen/pollenonce/register.go
+++ b/pollen/pollenonce/register.go
@@ -119,17 +119,17 @@
 		return nil, false, unknown(pollenschema.Reason_REASON_EXPIRED, "the id has expired; it may have run before")
 	}
 	if id.Expiry.Sub(now) > MaximumLifetime {
-		return nil, false, r.buryLocked(id, digest, pollenschema.Reason_REASON_INVALID, "the id's expiry is too far ahead")
+		return nil, false, r.refuseLocked(id, digest, pollenschema.Reason_REASON_INVALID, "the id's expiry is too far ahead")
 	}
 	if r.requests >= r.config.Capacity {
-		return nil, false, r.buryLocked(id, digest, pollenschema.Reason_REASON_OVERLOAD, "too many requests are remembered")
+		return nil, false, r.refuseLocked(id, digest, pollenschema.Reason_REASON_OVERLOAD, "too many requests are remembered")
 	}
 	r.requests++
 	return r.addLocked(&entry{nonce: id.Nonce, expiry: id.Expiry, digest: digest}), false, nil
 }
 
-// buryLocked refuses a request for good: a copy that comes later meets the same refusal.
-func (r *Register) buryLocked(id pollenmessage.RequestID, digest uint64, reason pollenschema.Reason, detail string) *Refusal {
+// refuseLocked refuses a request for as long as its id is valid: a copy that comes later meets the same refusal.
+func (r *Register) refuseLocked(id pollenmessage.RequestID, digest uint64, reason pollenschema.Reason, detail string) *Refusal {
 	if r.refusals >= r.config.Capacity {
 		return unknown(reason, detail)
 	}
--- a/pollen/pollenquery/fanout.go
+++ b/pollen/pollenquery/fanout.go
@@ -30,7 +30,7 @@
 	j.trace.Add(pollenevent.StepRestart, "", pollenschema.Reason_REASON_NOT_HELD,
 		fmt.Sprintf("snapshot %s is not held everywhere; restart on %s", pinned.Name, other.Name))
 	second := newFanout(j, other)
-	second.number = first.number
+	second.number, second.sent = first.number, first.sent
 	again := second.run(ctx)
 	if again.Coverage.Covered*response.Coverage.Total < response.Coverage.Covered*again.Coverage.Total {
 		return response
@@ -172,9 +172,11 @@
 
 // overloaded reports whether nothing is under way and every open shard was refused for lack of time by all replicas.
 //
-// Trying on would only add to the overload. Urgent requests try on, since others make way for them.
+// Trying on would only add to the overload. Urgent requests try on, since others make way for them, and so do those
+// that have an answer for some shards already, which would be wasted.
 func (f *fanout) overloaded() bool {
-	if len(f.flights) > 0 || f.job.request.Class == pollenschema.Class_CLASS_URGENT {
+	begun := f.open < len(f.shards) || len(f.flights) > 0
+	if begun || f.job.request.Class == pollenschema.Class_CLASS_URGENT {
 		return false
 	}
 	for _, s := range f.shards {
@@ -275,39 +277,6 @@
 	f.dispatchOpen(ctx)
 }
 
-func (f *fanout) missed(fl *flight, reason pollenschema.Reason) {
-	for _, s := range fl.shards {
-		if s.covered {
-			continue
-		}
-		s.reason = reason
-		switch reason {
-		case pollenschema.Reason_REASON_NOT_HELD:
-			s.refused[fl.target.server.Name] = true
-		case pollenschema.Reason_REASON_OVERLOAD:
-			s.overloaded[fl.target.server.Name] = true
-		}
-	}
-}
-
-func (f *fanout) cover(answer pollenmessage.ShardAnswer, server string) {
-	s, ok := f.shards[answer.Shard]
-	if !ok || s.covered {
-		return
-	}
-	switch answer.State {
-	case pollenmessage.ShardAnswered:
-		s.covered = true
-		s.rows = answer.Rows
-		f.open--
-	case pollenmessage.ShardNotHeld:
-		s.reason = pollenschema.Reason_REASON_NOT_HELD
-		s.refused[server] = true
-	default:
-		s.reason = pollenschema.Reason_REASON_DATA_LOST
-	}
-}
-
 // cancelLosers ends the flights whose shards are all covered by others.
 func (f *fanout) cancelLosers() {
 	for _, fl := range f.flights {
@@ -329,47 +298,3 @@
 		}
 	}
 }
-
-func (f *fanout) merge(ctx context.Context) *pollenschema.QueryResponse {
-	f.sealed = true
-	coverage := &pollenschema.Coverage{Total: uint32(len(f.snapshot.Shards))}
-	response := &pollenschema.QueryResponse{Outcome: pollenschema.Outcome_OUTCOME_DONE, Coverage: coverage}
-	for i := range f.snapshot.Shards {
-		s := f.shards[f.snapshot.Shards[i].Name]
-		if s.covered {
-			coverage.Covered++
-			response.Shards = append(response.Shards, &pollenschema.ShardRows{Shard: s.shard.Name, Rows: s.rows})
-			continue
-		}
-		coverage.Missing = append(coverage.Missing, &pollenschema.MissingShard{Shard: s.shard.Name, Reason: f.missingReason(ctx, s)})
-	}
-	if coverage.Covered == 0 {
-		response.Outcome = pollenschema.Outcome_OUTCOME_UNKNOWN
-		if !f.sent && len(f.flights) == 0 {
-			response.Outcome = pollenschema.Outcome_OUTCOME_NOT_RUN
-		}
-		response.Reason = coverage.Missing[0].Reason
-		response.Detail = "no shard was covered"
-	}
-	f.job.seal(response, f.snapshot)
-	return response
-}
-
-func (f *fanout) missingReason(ctx context.Context, s *shardState) pollenschema.Reason {
-	if s.reason != pollenschema.Reason_REASON_UNSPECIFIED {
-		return s.reason
-	}
-	if ctx.Err() == context.Canceled {
-		return pollenschema.Reason_REASON_CANCELLED
-	}
-	return pollenschema.Reason_REASON_DEADLINE
-}
-
-func allCovered(shards []*shardState) bool {
-	for _, s := range shards {
-		if !s.covered {
-			return false
-		}
-	}
-	return true
-}
--- a/pollenstandin/main.go
+++ b/pollenstandin/main.go
@@ -31,9 +31,25 @@
 			Flags:       flags,
 			Run:         func(ctx context.Context, _ []string) error { return servers(ctx, file) },
 		},
+		&pollencommand.Command{
+			CommandName: "inventory",
+			Summary:     "stand in for the platform's list of instances",
+			Help:        "inventory -settings FILE\n\nServes a list of instances that lags behind what it is told.",
+			Flags:       flags,
+			Run:         func(ctx context.Context, _ []string) error { return inventory(ctx, file) },
+		},
 	))
 }
 
+func inventory(ctx context.Context, file string) error {
+	settings := &pollenfakehost.InventorySettings{}
+	if err := pollensettings.Load(file, settings); err != nil {
+		return err
+	}
+	pollenlog.Setup(os.Stderr, "pollenstandin", "inventory")
+	return pollenfakehost.RunInventory(pollencommand.UntilSignal(ctx), settings)
+}
+
 func store(ctx context.Context, file string) error {
 	settings := &pollenfakehost.StoreSettings{}
 	if err := pollensettings.Load(file, settings); err != nil {
