--- a/pollen/pollencontrol/groups.go
+++ b/pollen/pollencontrol/groups.go
@@ -30,9 +30,10 @@
 type groupState struct {
 	machine *pollenchart.Machine
 	// version is that of the group's key, while it is owned.
-	version  uint64
-	releases bool
-	nextTry  time.Time
+	version uint64
+	// releasing is set while the key is being deleted.
+	releasing bool
+	nextTry   time.Time
 	// otherSince is when another instance became the preferred one.
 	otherSince time.Time
 }
@@ -241,10 +242,10 @@
 // release deletes the key of a group once nothing is being sent to its servers.
 func (c *Core) release(group pollenroute.Group, g *groupState) {
 	now := time.Now()
-	if g.releases || now.Before(g.nextTry) || c.config.Traffic.Sending(group) > 0 {
+	if g.releasing || now.Before(g.nextTry) || c.config.Traffic.Sending(group) > 0 {
 		return
 	}
-	g.releases = true
+	g.releasing = true
 	g.nextTry = now.Add(claimRetryTime)
 	store, version := c.config.Store, g.version
 	c.async(callTimeout, func(ctx context.Context) any {
@@ -255,7 +256,7 @@
 
 func (c *Core) released(m released) {
 	g := c.group(m.group)
-	g.releases = false
+	g.releasing = false
 	var conflict *pollenstore.ConflictError
 	if m.err == nil || errors.As(m.err, &conflict) {
 		c.fireGroup(m.group, g, eventReleased, "key deleted")
--- a/pollen/pollenevent/event.go
+++ b/pollen/pollenevent/event.go
@@ -22,7 +22,6 @@
 	KindServerState    Kind = "ServerState"
 	KindServerLimit    Kind = "ServerLimit"
 	KindConfiguration  Kind = "Configuration"
-	KindZone           Kind = "Zone"
 	KindStore          Kind = "Store"
 	KindConnection     Kind = "Connection"
 	KindPeer           Kind = "Peer"
--- a/pollen/pollenlimit/line.go
+++ b/pollen/pollenlimit/line.go
@@ -128,15 +128,8 @@
 	l.pumpLocked()
 }
 
-// State returns the server's state and limit.
-func (l *Line) State() (state pollenchart.StateName, limit, inFlight, queued int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.machine.State(), l.limit, l.inFlight, len(l.queue)
-}
-
-// Warm reports whether the server takes hedges.
-func (l *Line) Warm() bool {
+// TakesHedges reports whether the server takes hedges.
+func (l *Line) TakesHedges() bool {
 	return l.machine.Has(traitTakesHedges)
 }
 
@@ -154,14 +147,6 @@
 	return min(max(progressFactor*l.ramp.baseline, minimumProgress), maximumProgress)
 }
 
-// Restart takes the server to be cold, as a new owner must.
-func (l *Line) Restart() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.machine = pollenchart.NewMachine(serverChart)
-	l.limit = 1
-}
-
 const (
 	// maximumQueuePerSlot bounds the queue of a line.
 	maximumQueuePerSlot = 32
--- a/pollen/pollenowner/owner.go
+++ b/pollen/pollenowner/owner.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"pollenline.example/pollen/pollenbackend"
-	"pollenline.example/pollen/pollenchart"
 	"pollenline.example/pollen/pollenevent"
 	"pollenline.example/pollen/pollenlimit"
 	"pollenline.example/pollen/pollenmessage"
@@ -84,7 +83,7 @@
 	}
 	o.config.Metrics.observeQueue(q, permit)
 	answer := o.send(ctx, q, line, permit)
-	answer.Warm = line.limit.Warm()
+	answer.Warm = line.limit.TakesHedges()
 	answer.Typical = line.limit.Typical()
 	return answer
 }
@@ -121,25 +120,6 @@
 	return o.sending[group]
 }
 
-// LineState describes one line for operators.
-type LineState struct {
-	Server   string
-	State    pollenchart.StateName
-	Limit    int
-	InFlight int
-	Queued   int
-}
-
-// Lines describes all lines.
-func (o *Owner) Lines() []LineState {
-	var states []LineState
-	for id, line := range o.allLines() {
-		state, limit, inFlight, queued := line.limit.State()
-		states = append(states, LineState{Server: id, State: state, Limit: limit, InFlight: inFlight, Queued: queued})
-	}
-	return states
-}
-
 // clockAllowance is how far the clocks of two instances may differ before sub-queries are refused as late.
 const clockAllowance = time.Second
 
