--- /dev/null
+++ b/pollen/pollenonce/register_test.go
@@ -0,0 +1,105 @@
+package pollenonce_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenmessage"
+	"pollenline.example/pollen/pollenonce"
+	"pollenline.example/pollen/pollenschema"
+)
+
+func id(nonce string, lifetime time.Duration) pollenmessage.RequestID {
+	return pollenmessage.RequestID{Incarnation: "one", Nonce: nonce, Expiry: time.Now().Add(lifetime)}
+}
+
+func TestCopyWaitsForFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		register := pollenonce.NewRegister(pollenonce.Config{Incarnation: "one", Capacity: 10})
+		first, err := register.Begin(context.Background(), id("a", time.Second), 1)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first.Ticket, qt.IsNotNil)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			first.Ticket.Finish(&pollenschema.QueryResponse{Detail: "first"})
+		}()
+		second, err := register.Begin(context.Background(), id("a", time.Second), 1)
+		c.Assert(err, qt.IsNil)
+		c.Check(second.Ticket, qt.IsNil)
+		c.Check(second.Response.Detail, qt.Equals, "first")
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name    string
+		id      func() pollenmessage.RequestID
+		digest  uint64
+		outcome pollenschema.Outcome
+		reason  pollenschema.Reason
+	}{
+		{"other incarnation", func() pollenmessage.RequestID {
+			return pollenmessage.RequestID{Incarnation: "two", Nonce: "b", Expiry: time.Now().Add(time.Second)}
+		}, 1, pollenschema.Outcome_OUTCOME_UNKNOWN, pollenschema.Reason_REASON_INCARNATION_GONE},
+		{"expired", func() pollenmessage.RequestID { return id("b", -time.Second) }, 1, pollenschema.Outcome_OUTCOME_UNKNOWN, pollenschema.Reason_REASON_EXPIRED},
+		{"far ahead", func() pollenmessage.RequestID { return id("b", time.Hour) }, 1, pollenschema.Outcome_OUTCOME_NOT_RUN, pollenschema.Reason_REASON_INVALID},
+		{"full", func() pollenmessage.RequestID { return id("b", time.Second) }, 1, pollenschema.Outcome_OUTCOME_NOT_RUN, pollenschema.Reason_REASON_OVERLOAD},
+		{"same id for another request", func() pollenmessage.RequestID { return id("a", time.Second) }, 2, pollenschema.Outcome_OUTCOME_UNKNOWN, pollenschema.Reason_REASON_DUPLICATE},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			register := pollenonce.NewRegister(pollenonce.Config{Incarnation: "one", Capacity: 1})
+			_, err := register.Begin(context.Background(), id("a", time.Minute), 1)
+			c.Assert(err, qt.IsNil)
+			_, err = register.Begin(context.Background(), test.id(), test.digest)
+			var refusal *pollenonce.Refusal
+			c.Assert(err, qt.ErrorAs, &refusal)
+			c.Check(refusal.Outcome, qt.Equals, test.outcome)
+			c.Check(refusal.Reason, qt.Equals, test.reason)
+		})
+	}
+}
+
+// TestRefusedStaysRefused gives a refused id room later; a copy must meet the refusal all the same.
+func TestRefusedStaysRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		register := pollenonce.NewRegister(pollenonce.Config{Incarnation: "one", Capacity: 1})
+		first, err := register.Begin(context.Background(), id("a", time.Second), 1)
+		c.Assert(err, qt.IsNil)
+		refused := id("b", 30*time.Second)
+		_, err = register.Begin(context.Background(), refused, 1)
+		c.Assert(err, qt.IsNotNil)
+		first.Ticket.Finish(&pollenschema.QueryResponse{})
+		time.Sleep(2 * time.Second)
+		copied, err := register.Begin(context.Background(), refused, 1)
+		c.Assert(err, qt.IsNil)
+		c.Check(copied.Ticket, qt.IsNil)
+		c.Check(copied.Response.Outcome, qt.Equals, pollenschema.Outcome_OUTCOME_NOT_RUN)
+	})
+}
+
+// TestMemoryEndsWithExpiry checks that memory is bounded by expiry, and that an expired id never runs.
+func TestMemoryEndsWithExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		register := pollenonce.NewRegister(pollenonce.Config{Incarnation: "one", Capacity: 2})
+		expired := id("a", time.Second)
+		first, err := register.Begin(context.Background(), expired, 1)
+		c.Assert(err, qt.IsNil)
+		first.Ticket.Finish(&pollenschema.QueryResponse{})
+		time.Sleep(2 * time.Second)
+		_, err = register.Begin(context.Background(), expired, 1)
+		var refusal *pollenonce.Refusal
+		c.Assert(err, qt.ErrorAs, &refusal)
+		c.Check(refusal.Outcome, qt.Equals, pollenschema.Outcome_OUTCOME_UNKNOWN)
+		requests, refusals := register.Len()
+		c.Check(requests+refusals, qt.Equals, 0)
+	})
+}
