Write a request's age into the ring of newest ones in one place

Cause: the last reading found ramp.add and ramp.addSlow writing the same ring, and two comments in the line's test that did not say what the code does.

Change: both go through ramp.note; the comments are put right. Behaviour stays.

--- a/pollen/pollenlimit/line_test.go
+++ b/pollen/pollenlimit/line_test.go
@@ -34,7 +34,7 @@
 	return Work{Class: class, Deadline: time.Now().Add(timeout)}
 }
 
-// serve runs requests one after another until the line is full.
+// serve runs a number of requests one after another.
 func serve(t *testing.T, l *Line, requests int) {
 	t.Helper()
 	for range requests {
@@ -189,7 +189,7 @@
 		second, err := l.Acquire(context.Background(), work(pollenschema.Class_CLASS_URGENT, time.Minute))
 		c.Assert(err, qt.IsNil)
 		c.Check(reason(hedge), qt.Equals, pollenschema.Reason_REASON_OVERLOAD)
-		// Half of an answer time is too little when both slots are taken.
+		// A quarter of an answer time is too little when both slots are taken.
 		c.Check(reason(work(pollenschema.Class_CLASS_URGENT, answerTime/4)), qt.Equals, pollenschema.Reason_REASON_OVERLOAD)
 		first.Finish(Observation{Sign: SignNothing})
 		second.Finish(Observation{Sign: SignNothing})
--- a/pollen/pollenlimit/permit.go
+++ b/pollen/pollenlimit/permit.go
@@ -119,7 +119,7 @@
 	if age <= burstFactor*l.ramp.baseline {
 		return
 	}
-	l.ramp.addSlow(age)
+	l.ramp.note(age)
 	if l.ramp.slowBurst() {
 		l.fireLocked(eventSlowBurst, fmt.Sprintf("requests given up far above %v", l.ramp.baseline))
 	}
--- a/pollen/pollenlimit/ramp.go
+++ b/pollen/pollenlimit/ramp.go
@@ -51,8 +51,7 @@
 		r.opened = time.Now()
 	}
 	r.window = append(r.window, latency)
-	r.recent[r.next] = latency
-	r.next = (r.next + 1) % burstWindow
+	r.note(latency)
 	switch {
 	case r.baseline == 0:
 		r.baseline = latency
@@ -61,8 +60,8 @@
 	}
 }
 
-// addSlow takes in a request that was given up after a time without an answer.
-func (r *ramp) addSlow(age time.Duration) {
+// note puts the age of a request, answered or given up, among the newest ones that slowBurst looks at.
+func (r *ramp) note(age time.Duration) {
 	r.recent[r.next] = age
 	r.next = (r.next + 1) % burstWindow
 }
