Serve the users' platform through an adapter: the whole path, thin

The instance follows the platform's store in one watch over all keys, publishes an immutable table and sends each request straight to backend servers, over connections that carry one request at a time. Choice of server, hedging, sealing, the retry budget and the split of weights are packages without input or output.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := pollen pollenbench pollenctl pollenentry pollenload pollenstandin
+MODULES := platform pollen pollenbench pollenctl pollenentry pollenload pollenstandin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 FIRM ?= vunivalu
 SECONDS ?= 60
--- a/pollen/polleninstance/control.go
+++ b/pollen/pollenactor/actor.go
@@ -1,4 +1,4 @@
-package polleninstance
+package pollenactor
 
 import (
 	"fmt"
@@ -13,26 +13,27 @@
 // exitPanic is the exit status after the control state was found broken.
 const exitPanic = 3
 
-// protoActor is an actor of the actor library.
-type protoActor struct {
+// Actor delivers messages to a function in the order in which they were posted.
+type Actor struct {
 	system *actor.ActorSystem
 	pid    *actor.PID
 }
 
-func spawn(logger *slog.Logger, receive func(message any)) *protoActor {
+// Spawn starts an actor that hands every message to receive.
+func Spawn(logger *slog.Logger, receive func(message any)) *Actor {
 	system := actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return logger }))
-	return &protoActor{system: system, pid: system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) {
+	return &Actor{system: system, pid: system.Root.Spawn(actor.PropsFromFunc(func(ctx actor.Context) {
 		deliver(ctx, receive)
 	}))}
 }
 
-// Post implements Actor.
-func (a *protoActor) Post(message any) {
+// Post queues a message without waiting for it to be received.
+func (a *Actor) Post(message any) {
 	a.system.Root.Send(a.pid, message)
 }
 
-// Stop implements Actor.
-func (a *protoActor) Stop() {
+// Stop ends the actor after the message that it is receiving.
+func (a *Actor) Stop() {
 	a.system.Root.Stop(a.pid)
 	a.system.Shutdown()
 }
--- /dev/null
+++ b/pollen/pollenforward/call.go
@@ -0,0 +1,378 @@
+package pollenforward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrank"
+)
+
+// call is one request on its way through the services that it needs.
+type call struct {
+	forwarder *Forwarder
+	route     *pollencatalog.Route
+	request   *Request
+	account   *Account
+	schedule  Schedule
+	legs      []leg
+	results   chan result
+	sending   context.Context
+	covered   int
+	hedged    bool
+	// ran is set once a server may have run the request.
+	ran bool
+	// failure is the newest answer that reports a failure with the server's signature.
+	failure *Answer
+}
+
+// leg is the part of a call that one service answers.
+type leg struct {
+	service string
+	answer  *Answer
+	// open counts requests without an answer, runs those that may have run, sends all of them.
+	open, runs, sends int
+	tried             []attempt
+}
+
+// attempt is one request of a leg to one server.
+type attempt struct {
+	server *pollencatalog.Server
+	permit *pollenrank.Permit
+	notRun bool
+}
+
+type result struct {
+	leg     int
+	attempt int
+	answer  *Answer
+	err     error
+}
+
+// spareSends is the number of requests that a leg may send beyond its attempts, to replace those that did not run.
+const spareSends = 2
+
+// returnSpread is the shortest time after which a refused caller is asked to come back.
+const returnSpread = 50 * time.Millisecond
+
+func (c *call) run(ctx context.Context) (*Reply, error) {
+	sending, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	c.sending = sending
+	defer func() { c.release(ctx, cancel) }()
+	now := time.Now()
+	if err := c.admit(now); err != nil {
+		return nil, err
+	}
+	for i := range c.legs {
+		c.forwarder.config.Budget.Count(c.legs[i].service, now)
+		c.send(i, now)
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for !c.settled(time.Now()) {
+		timer.Reset(time.Until(c.nextMoment(time.Now())))
+		select {
+		case <-ctx.Done():
+			return nil, &GoneError{}
+		case r := <-c.results:
+			c.take(r)
+		case <-timer.C:
+			c.hedge(time.Now())
+		}
+	}
+	return c.conclude(time.Now())
+}
+
+// admit refuses a request that cannot reach its coverage with the servers that are not left out.
+//
+// Load pattern: all servers of several shards are down. Asking the others would use their slots for nothing.
+func (c *call) admit(now time.Time) error {
+	if !now.Before(c.schedule.End) {
+		return &RefusedError{Cause: "no time left on arrival", RetryAfter: returnSpread}
+	}
+	table := c.forwarder.config.Table()
+	available := 0
+	for i := range c.legs {
+		if c.forwarder.config.Ranking.Available(table.Usable(nil, c.legs[i].service), now) {
+			available++
+		}
+	}
+	if available >= c.needed() {
+		return nil
+	}
+	return &RefusedError{
+		Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.legs), c.needed()),
+		RetryAfter: c.returnAfter(now),
+	}
+}
+
+// needed returns the number of legs that a reply needs at least.
+func (c *call) needed() int {
+	if !c.route.Sharded() {
+		return 1
+	}
+	needed := int(c.route.MinimumCoverage * float64(len(c.legs)))
+	if float64(needed) < c.route.MinimumCoverage*float64(len(c.legs)) {
+		needed++
+	}
+	return max(needed, 1)
+}
+
+func (c *call) returnAfter(now time.Time) time.Duration {
+	return max(returnSpread, c.schedule.End.Sub(now)/8)
+}
+
+// send asks one more server of a leg and reports whether there was one.
+func (c *call) send(i int, now time.Time) bool {
+	l := &c.legs[i]
+	table := c.forwarder.config.Table()
+	server, ok := c.choose(table, l, now)
+	if !ok {
+		return false
+	}
+	permit := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
+	l.tried = append(l.tried, attempt{server: server, permit: permit})
+	l.open++
+	l.sends++
+	c.account.Sends++
+	c.account.LastServer = server.ID
+	order := Order{
+		Request: c.request, Server: server, TimeLeft: c.schedule.Limit.Sub(now),
+		Connections: c.forwarder.connections(table, l.service),
+	}
+	go c.exchange(i, len(l.tried)-1, permit, order)
+	return true
+}
+
+func (c *call) choose(table *pollencatalog.Table, l *leg, now time.Time) (*pollencatalog.Server, bool) {
+	var free, busy []*pollencatalog.Server
+	connections := c.forwarder.connections(table, l.service)
+	for _, server := range table.Usable(nil, l.service) {
+		switch {
+		case l.asked(server):
+		case c.forwarder.config.Exchanger.Free(server, connections):
+			free = append(free, server)
+		default:
+			busy = append(busy, server)
+		}
+	}
+	if best, ok := c.forwarder.config.Ranking.Best(c.route.Name, free, now); ok {
+		return free[best], true
+	}
+	if best, ok := c.forwarder.config.Ranking.Best(c.route.Name, busy, now); ok {
+		return busy[best], true
+	}
+	return nil, false
+}
+
+func (l *leg) asked(server *pollencatalog.Server) bool {
+	for _, a := range l.tried {
+		if a.server.Incarnation() == server.Incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *call) exchange(i, number int, permit *pollenrank.Permit, order Order) {
+	ctx, cancel := context.WithDeadline(c.sending, c.schedule.Limit)
+	defer cancel()
+	answer, err := c.forwarder.config.Exchanger.Exchange(ctx, order)
+	permit.Finish(outcome(ctx, answer, err), time.Now())
+	c.results <- result{leg: i, attempt: number, answer: answer, err: err}
+}
+
+func outcome(ctx context.Context, answer *Answer, err error) pollenrank.Outcome {
+	var notRun *NotRunError
+	switch {
+	case errors.As(err, &notRun):
+		return pollenrank.Shed
+	case err != nil && ctx.Err() != nil:
+		return pollenrank.Abandoned
+	case err != nil || answer.Status >= 500:
+		return pollenrank.Failed
+	}
+	return pollenrank.Answered
+}
+
+// take records a result and retries if it is not an answer.
+func (c *call) take(r result) {
+	l := &c.legs[r.leg]
+	l.open--
+	if r.err == nil && c.usable(r.answer) {
+		c.ran = true
+		if l.answer == nil {
+			l.answer = r.answer
+			c.covered++
+		}
+		return
+	}
+	c.recordFailure(l, r)
+	if l.answer == nil && l.open == 0 && c.mayRetry(l, time.Now()) && c.send(r.leg, time.Now()) {
+		c.account.Retries++
+	}
+}
+
+// usable reports whether an answer ends its leg: a query merges successes only, a single request also ends with a
+// server's rejection.
+func (c *call) usable(a *Answer) bool {
+	return a.Success() || (!c.route.Sharded() && a.Status < 500 && c.relayable(a))
+}
+
+func (c *call) recordFailure(l *leg, r result) {
+	var notRun *NotRunError
+	var unsent *UnsentError
+	switch {
+	case errors.As(r.err, &notRun), errors.As(r.err, &unsent):
+		l.tried[r.attempt].notRun = true
+		c.account.Refusals++
+	default:
+		l.runs++
+		c.ran = true
+		c.account.Failures++
+	}
+	if r.err != nil {
+		c.account.LastFailure = r.err.Error()
+		return
+	}
+	c.account.LastFailure = fmt.Sprintf("server %s answered with status %d", l.tried[r.attempt].server.ID, r.answer.Status)
+	c.failure = r.answer
+}
+
+// mayRetry reports whether a leg may send one more request, and takes it from the budget.
+func (c *call) mayRetry(l *leg, now time.Time) bool {
+	if l.runs+l.open >= c.route.Attempts || l.sends >= c.route.Attempts+spareSends || !now.Before(c.schedule.End) {
+		return false
+	}
+	if !c.route.Idempotent && l.runs > 0 {
+		return false
+	}
+	if len(c.forwarder.config.Table().Usable(nil, l.service)) <= len(l.tried) && !c.hasUntried(l) {
+		return false
+	}
+	if !c.forwarder.config.Budget.Take(l.service, now, c.forwarder.config.Table().Sharers()) {
+		c.account.Denied++
+		return false
+	}
+	return true
+}
+
+func (c *call) hasUntried(l *leg) bool {
+	for _, server := range c.forwarder.config.Table().Usable(nil, l.service) {
+		if !l.asked(server) {
+			return true
+		}
+	}
+	return false
+}
+
+// hedge asks another server for each leg that is still without an answer.
+func (c *call) hedge(now time.Time) {
+	if c.hedged || now.Before(c.schedule.Hedge) {
+		return
+	}
+	c.hedged = true
+	if !c.route.Idempotent {
+		return
+	}
+	for i := range c.legs {
+		l := &c.legs[i]
+		if l.answer != nil || l.open == 0 {
+			continue
+		}
+		l.tried[len(l.tried)-1].permit.Note(now)
+		if c.mayRetry(l, now) && c.send(i, now) {
+			c.account.Hedges++
+		}
+	}
+}
+
+// nextMoment returns when the call has to act without a result.
+func (c *call) nextMoment(now time.Time) time.Time {
+	if !c.hedged {
+		return c.schedule.Hedge
+	}
+	if now.Before(c.schedule.Seal) && c.covered >= c.needed() {
+		return c.schedule.Seal
+	}
+	return c.schedule.End
+}
+
+// settled reports whether the call has nothing left to wait for.
+func (c *call) settled(now time.Time) bool {
+	if !now.Before(c.schedule.End) {
+		return true
+	}
+	waiting := 0
+	for i := range c.legs {
+		if c.legs[i].answer == nil && c.legs[i].open > 0 {
+			waiting++
+		}
+	}
+	enough := c.covered >= c.needed()
+	if waiting == 0 || c.covered+waiting < c.needed() {
+		return true
+	}
+	return enough && !now.Before(c.schedule.Seal)
+}
+
+func (c *call) conclude(now time.Time) (*Reply, error) {
+	c.account.Covered = c.covered
+	switch {
+	case c.covered >= c.needed():
+		return c.reply(), nil
+	case !c.route.Sharded() && c.failure != nil && c.relayable(c.failure):
+		return &Reply{Answer: *c.failure}, nil
+	case !c.ran && c.nothingOpen():
+		return nil, &RefusedError{Cause: "no server took the request", RetryAfter: c.returnAfter(now)}
+	case !now.Before(c.schedule.End):
+		return nil, &FailedError{Cause: "no answer in time", TimedOut: true}
+	}
+	return nil, &FailedError{Cause: fmt.Sprintf("%d of %d services answered, %d needed", c.covered, len(c.legs), c.needed())}
+}
+
+func (c *call) nothingOpen() bool {
+	for i := range c.legs {
+		if c.legs[i].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// relayable reports whether a server's failure can be passed on: statuses that state that a request has not run are
+// not, since it has.
+func (c *call) relayable(a *Answer) bool {
+	switch a.Status {
+	case 408, 421, 429, 503:
+		return false
+	}
+	return true
+}
+
+func (c *call) reply() *Reply {
+	if !c.route.Sharded() {
+		return &Reply{Answer: *c.legs[0].answer}
+	}
+	reply := &Reply{Answer: Answer{Status: 200}, Missing: len(c.legs) - c.covered}
+	bodies := make([][]byte, 0, c.covered)
+	for i := range c.legs {
+		if answer := c.legs[i].answer; answer != nil {
+			reply.Parts = append(reply.Parts, answer.Signature)
+			bodies = append(bodies, answer.Body)
+		}
+	}
+	reply.Body = Merge(bodies, c.route.Top)
+	return reply
+}
+
+// release ends what is still open: at once if the caller has left, else after a while in which answers may come.
+func (c *call) release(ctx context.Context, cancel context.CancelFunc) {
+	if c.nothingOpen() || ctx.Err() != nil {
+		cancel()
+		return
+	}
+	time.AfterFunc(c.forwarder.config.Linger, cancel)
+}
--- /dev/null
+++ b/pollen/pollenforward/plan.go
@@ -0,0 +1,78 @@
+package pollenforward
+
+import (
+	"time"
+
+	"pollenline.example/pollen/pollencatalog"
+)
+
+// Schedule holds the moments at which a request is hedged, sealed and ended.
+type Schedule struct {
+	// Hedge is when services without an answer are asked once more.
+	Hedge time.Time
+	// Seal is when an answer with enough shards is given without the others.
+	Seal time.Time
+	// End is when the request ends in any case.
+	End time.Time
+	// Limit is the end of the caller's patience or the route's timeout, which servers are told.
+	Limit time.Time
+}
+
+// ScheduleConfig holds what a Schedule depends on.
+type ScheduleConfig struct {
+	Route    *pollencatalog.Route
+	Received time.Time
+	Patience time.Duration
+	// CallerTrip is the time that a request and its answer spend on the way between caller and instance.
+	CallerTrip time.Duration
+	// Typical is a high quantile of the latencies of the route's servers, zero if it is not known.
+	Typical time.Duration
+}
+
+const (
+	// sealMargin is the share of the objective that is kept for merging and sending.
+	sealMargin = 0.06
+	// earliestHedge and latestHedge bound the hedge as shares of the objective: earlier ones waste work, later
+	// ones are answered too late.
+	earliestHedge = 0.08
+	latestHedge   = 0.4
+	// endMargin is the share of the time left that is kept for an answer to arrive before the caller leaves, at
+	// most longestEndMargin.
+	endMargin        = 0.02
+	longestEndMargin = 50 * time.Millisecond
+	// defaultPatience is used when neither the caller nor the route sets a limit.
+	defaultPatience = 30 * time.Second
+)
+
+// NewSchedule sets the moments of a request.
+//
+// Load pattern: single servers stall or turn slow. Hedging at a high quantile of the measured latencies costs few
+// extra requests on an ordinary day; the bound by the objective keeps it useful when many servers are slow.
+func NewSchedule(config ScheduleConfig) Schedule {
+	limit := defaultPatience
+	if config.Route.Timeout > 0 {
+		limit = config.Route.Timeout
+	}
+	if config.Patience > 0 {
+		limit = min(limit, config.Patience)
+	}
+	objective := config.Route.Objective
+	if objective <= 0 || objective > limit {
+		objective = limit
+	}
+	hedge := config.Typical
+	if hedge == 0 {
+		hedge = share(objective, latestHedge)
+	}
+	hedge = min(max(hedge, share(objective, earliestHedge)), share(objective, latestHedge))
+	end := limit - min(share(limit, endMargin), longestEndMargin)
+	seal := min(objective-config.CallerTrip-share(objective, sealMargin), end)
+	return Schedule{
+		Hedge: config.Received.Add(hedge),
+		Seal:  config.Received.Add(max(seal, objective/2)),
+		End:   config.Received.Add(end),
+		Limit: config.Received.Add(limit),
+	}
+}
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
--- /dev/null
+++ b/pollen/pollenforward/split.go
@@ -0,0 +1,47 @@
+package pollenforward
+
+import (
+	"sync"
+
+	"pollenline.example/pollen/pollencatalog"
+)
+
+// Splitter distributes the requests of each route over its services in proportion to their weights.
+//
+// It is deterministic, so that the shares hold over a few requests already. The zero value is ready to use.
+type Splitter struct {
+	mu     sync.Mutex
+	credit map[splitKey]float64
+}
+
+type splitKey struct {
+	route   string
+	service string
+}
+
+// Choose returns the service that gets the next request of a route.
+func (s *Splitter) Choose(route *pollencatalog.Route) string {
+	if len(route.Split) == 1 {
+		return route.Split[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.credit == nil {
+		s.credit = make(map[splitKey]float64)
+	}
+	total, best := 0.0, -1
+	for i, share := range route.Split {
+		total += share.Weight
+		key := splitKey{route: route.Name, service: share.Service}
+		s.credit[key] += share.Weight
+		if best < 0 || s.credit[key] > s.credit[splitKey{route: route.Name, service: route.Split[best].Service}] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	service := route.Split[best].Service
+	s.credit[splitKey{route: route.Name, service: service}] -= total
+	return service
+}
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"pollenline.example/pollen/pollenactor"
 	"pollenline.example/pollen/pollenbackend"
 	"pollenline.example/pollen/pollencheck"
 	"pollenline.example/pollen/pollenconfig"
@@ -102,7 +103,7 @@
 		}),
 		Peers:   pollenpeer.NewClient(),
 		Connect: func(s *pollenroute.Server) pollenowner.Backend { return pollenbackend.NewClient(s) },
-		Spawn:   func(receive func(any)) Actor { return spawn(logger, receive) },
+		Spawn:   func(receive func(any)) Actor { return pollenactor.Spawn(logger, receive) },
 	}
 	if settings.InventoryAddress.IsValid() {
 		config.Inventory = polleninventory.NewClient(polleninventory.ClientConfig{
--- /dev/null
+++ b/pollen/pollenpool/pool.go
@@ -0,0 +1,210 @@
+package pollenpool
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Config configures a Pool.
+type Config struct {
+	// DialTimeout bounds how long a new connection may take.
+	DialTimeout time.Duration
+	// IdleTimeout is how long a connection is kept without a request if the server does not say.
+	IdleTimeout time.Duration
+	// KeepAlive detects connections that have gone silent.
+	KeepAlive net.KeepAliveConfig
+}
+
+// Pool holds the connections of one instance to all servers.
+type Pool struct {
+	config    Config
+	transport *http.Transport
+
+	mu    sync.Mutex
+	hosts map[netip.AddrPort]*host
+}
+
+type host struct {
+	idle []*Conn
+	open int
+}
+
+// Conn is a connection that is lent for one request.
+type Conn struct {
+	*http.ClientConn
+	pool    *Pool
+	address netip.AddrPort
+	// Reused is set if the connection has carried a request before.
+	Reused bool
+	until  time.Time
+}
+
+// LimitError reports that all connections to a server that this instance may open are in use.
+type LimitError struct {
+	Address netip.AddrPort
+	Limit   int
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("all %d connections to %v are in use", e.Limit, e.Address)
+}
+
+// DialError reports a connection that could not be made; nothing was sent.
+type DialError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+func (e *DialError) Error() string { return fmt.Sprintf("connect to %v: %v", e.Address, e.Err) }
+
+func (e *DialError) Unwrap() error { return e.Err }
+
+// New returns a Pool without connections.
+func New(config Config) *Pool {
+	dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}
+	return &Pool{
+		config: config,
+		transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maximumHeaderBytes,
+			ReadBufferSize:         bufferBytes,
+			WriteBufferSize:        bufferBytes,
+		},
+		hosts: make(map[netip.AddrPort]*host),
+	}
+}
+
+const (
+	// maximumHeaderBytes bounds the header of a server's answer.
+	maximumHeaderBytes = 64 << 10
+	// bufferBytes is the size of each connection's buffers: an answer of one shard fits, and 100 connections
+	// take less than a megabyte.
+	bufferBytes = 2 << 10
+)
+
+// Get lends an idle connection to a server, or a new one while fewer than limit are open.
+func (p *Pool) Get(ctx context.Context, address netip.AddrPort, limit int) (*Conn, error) {
+	conn, err := p.reserve(address, limit)
+	if conn != nil || err != nil {
+		return conn, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
+	defer cancel()
+	client, err := p.transport.NewClientConn(ctx, "http", address.String())
+	if err != nil {
+		p.release(address)
+		return nil, &DialError{Address: address, Err: err}
+	}
+	return &Conn{ClientConn: client, pool: p, address: address}, nil
+}
+
+// Free reports whether a request can be sent to a server at once.
+func (p *Pool) Free(address netip.AddrPort, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.hosts[address]
+	return !ok || len(h.idle) > 0 || h.open < limit
+}
+
+// Put returns a connection whose answer was read to its end, to be used again until it has idled for idle.
+//
+// An idle of zero stands for the pool's own idle timeout.
+func (c *Conn) Put(idle time.Duration) {
+	if c.Err() != nil {
+		c.Discard()
+		return
+	}
+	if idle <= 0 || idle > c.pool.config.IdleTimeout {
+		idle = c.pool.config.IdleTimeout
+	}
+	c.Reused = true
+	c.until = time.Now().Add(idle)
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(c.address)
+	h.idle = append(h.idle, c)
+}
+
+// Discard closes a connection that must not be used again.
+func (c *Conn) Discard() {
+	// The connection is given up whether or not closing it reports an error.
+	_ = c.Close()
+	c.pool.release(c.address)
+}
+
+// Retain closes the idle connections to all addresses that are not named.
+func (p *Pool) Retain(named map[netip.AddrPort]bool) {
+	now := time.Now()
+	var expired []*Conn
+	p.mu.Lock()
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if named[address] && c.usable(now) {
+				kept = append(kept, c)
+			} else {
+				expired = append(expired, c)
+			}
+		}
+		h.idle = kept
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		c.Discard()
+	}
+}
+
+// reserve returns a usable idle connection, or nil and no error if the caller may open one.
+func (p *Pool) reserve(address netip.AddrPort, limit int) (*Conn, error) {
+	now := time.Now()
+	var expired []*Conn
+	defer func() {
+		for _, c := range expired {
+			c.Discard()
+		}
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if c.usable(now) {
+			return c, nil
+		}
+		expired = append(expired, c)
+	}
+	if h.open-len(expired) >= limit {
+		return nil, &LimitError{Address: address, Limit: limit}
+	}
+	h.open++
+	return nil, nil
+}
+
+func (p *Pool) release(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	h.open--
+	if h.open == 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+func (p *Pool) host(address netip.AddrPort) *host {
+	h, ok := p.hosts[address]
+	if !ok {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+func (c *Conn) usable(now time.Time) bool { return c.Err() == nil && now.Before(c.until) }
--- /dev/null
+++ b/pollen/pollenquantile/doc.go
@@ -0,0 +1,2 @@
+// Package pollenquantile estimates quantiles of a stream of latencies that changes over time.
+package pollenquantile
--- /dev/null
+++ b/pollen/pollenrank/rank.go
@@ -0,0 +1,294 @@
+package pollenrank
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenquantile"
+)
+
+// Config configures a Ranking.
+type Config struct {
+	// Random spreads choices between servers that are equally good.
+	Random *rand.Rand
+}
+
+// Ranking holds what one instance has learned about routes and servers.
+type Ranking struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	routes  map[string]*pollenquantile.Sketch
+	servers map[pollencatalog.Incarnation]*server
+}
+
+// Outcome says how a request to a server ended.
+type Outcome int
+
+// The outcomes that a Ranking learns from.
+const (
+	// Answered is a whole answer, also one that reports a failure of the request itself.
+	Answered Outcome = iota
+	// Shed is a refusal of a server that has not run the request.
+	Shed
+	// Failed is a broken connection, a wrong answer or an internal error.
+	Failed
+	// Abandoned is a request that was given up before it was answered; it says nothing but how long it took.
+	Abandoned
+)
+
+const (
+	// learning is the weight of a new sample in a server's averages; five samples make up two thirds.
+	learning = 0.2
+	// forgetting is the time in which an estimate without new samples moves two thirds of the way to the typical one.
+	forgetting = 3 * time.Second
+	// failurePenalty is the number of typical latencies that a certain failure costs: the retry and its detection.
+	failurePenalty = 6
+	// stallFactor is the multiple of its expected latency after which an open request is taken as a stall.
+	stallFactor = 2.5
+	// jitter is the share by which estimates are varied, so that instances do not choose in step.
+	jitter = 0.1
+	// ejectionFailures is the number of failures in a row after which a server is left out.
+	ejectionFailures = 2
+	// firstEjection and longestEjection bound how long a failing server is left out; it doubles in between.
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 4 * time.Second
+	// typicalBefore is used for a route's typical latency until the first answer.
+	typicalBefore = 20 * time.Millisecond
+)
+
+type server struct {
+	// slowness is the ratio of the server's latencies to the route's typical one.
+	slowness float64
+	// failing is the share of recent requests that were shed or failed.
+	failing  float64
+	updated  time.Time
+	open     map[*Permit]struct{}
+	failures int
+	// ejectedUntil is when the server may be tried again; probing is set while one request does so.
+	ejectedUntil time.Time
+	probing      *Permit
+}
+
+// Permit stands for one request that is sent to a server.
+type Permit struct {
+	ranking  *Ranking
+	server   *server
+	route    string
+	started  time.Time
+	expected time.Duration
+	noted    bool
+	done     bool
+}
+
+// New returns a Ranking that knows nothing yet.
+func New(config Config) *Ranking {
+	return &Ranking{
+		random:  config.Random,
+		routes:  make(map[string]*pollenquantile.Sketch),
+		servers: make(map[pollencatalog.Incarnation]*server),
+	}
+}
+
+// Best returns the index of the server with the least expected latency, or false if all are left out.
+//
+// A cold server is chosen only if there is no warm one.
+func (r *Ranking) Best(route string, candidates []*pollencatalog.Server, now time.Time) (int, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	best, found := 0, false
+	var bestCost float64
+	var bestCold bool
+	for i, candidate := range candidates {
+		s := r.server(candidate)
+		if s.leftOut(now) {
+			continue
+		}
+		cold := candidate.Cold(now)
+		cost := float64(r.cost(route, candidate, s, now)) * (1 + jitter*r.random.Float64())
+		if !found || (bestCold && !cold) || (bestCold == cold && cost < bestCost) {
+			best, found, bestCost, bestCold = i, true, cost, cold
+		}
+	}
+	return best, found
+}
+
+// Start records that a request of a route is sent to a server.
+func (r *Ranking) Start(route string, candidate *pollencatalog.Server, now time.Time) *Permit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.server(candidate)
+	p := &Permit{ranking: r, server: s, route: route, started: now}
+	p.expected = time.Duration(float64(r.typical(route)) * s.slownessAt(now))
+	s.open[p] = struct{}{}
+	if s.failures >= ejectionFailures {
+		s.probing = p
+	}
+	return p
+}
+
+// Typical returns the given quantile of the latencies of a route, zero before there are enough answers.
+func (r *Ranking) Typical(route string, share float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sketch, ok := r.routes[route]
+	if !ok || sketch.Samples() < minimumSamples {
+		return 0
+	}
+	return sketch.Quantile(share)
+}
+
+// minimumSamples is the number of answers before a route's quantiles are used.
+const minimumSamples = 20
+
+// Available reports whether at least one of the servers is not left out.
+func (r *Ranking) Available(candidates []*pollencatalog.Server, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, candidate := range candidates {
+		if !r.server(candidate).leftOut(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Forget drops what is known of servers that the table no longer names.
+func (r *Ranking) Forget(table *pollencatalog.Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	named := make(map[pollencatalog.Incarnation]bool)
+	table.Each(func(s *pollencatalog.Server) { named[s.Incarnation()] = true })
+	for incarnation, s := range r.servers {
+		if !named[incarnation] && len(s.open) == 0 {
+			delete(r.servers, incarnation)
+		}
+	}
+}
+
+// Note tells the ranking that the request is still open, so that its age counts before it ends.
+func (p *Permit) Note(now time.Time) {
+	r := p.ranking
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !p.done && !p.noted {
+		p.noted = true
+		r.learn(p, now.Sub(p.started), now)
+	}
+}
+
+// Finish records the end of the request.
+func (p *Permit) Finish(outcome Outcome, now time.Time) {
+	r := p.ranking
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	s := p.server
+	delete(s.open, p)
+	if s.probing == p {
+		s.probing = nil
+	}
+	latency := now.Sub(p.started)
+	switch outcome {
+	case Answered:
+		r.sketch(p.route).Add(latency)
+		r.learn(p, latency, now)
+		s.failing += learning * (0 - s.failing)
+		s.failures, s.ejectedUntil = 0, time.Time{}
+	case Shed:
+		s.failing += learning * (1 - s.failing)
+		s.failures, s.ejectedUntil = 0, time.Time{}
+	case Failed:
+		s.failing += learning * (1 - s.failing)
+		s.fail(now)
+	case Abandoned:
+		if latency > p.expected {
+			r.learn(p, latency, now)
+		}
+	}
+	s.updated = now
+}
+
+func (r *Ranking) server(candidate *pollencatalog.Server) *server {
+	key := candidate.Incarnation()
+	s, ok := r.servers[key]
+	if !ok {
+		s = &server{slowness: 1, open: make(map[*Permit]struct{})}
+		r.servers[key] = s
+	}
+	return s
+}
+
+func (r *Ranking) sketch(route string) *pollenquantile.Sketch {
+	sketch, ok := r.routes[route]
+	if !ok {
+		sketch = &pollenquantile.Sketch{}
+		r.routes[route] = sketch
+	}
+	return sketch
+}
+
+func (r *Ranking) typical(route string) time.Duration {
+	if sketch, ok := r.routes[route]; ok && sketch.Samples() > 0 {
+		return sketch.Quantile(0.5)
+	}
+	return typicalBefore
+}
+
+func (r *Ranking) learn(p *Permit, latency time.Duration, now time.Time) {
+	s := p.server
+	s.slowness = s.slownessAt(now)
+	s.slowness += learning * (float64(latency)/float64(r.typical(p.route)) - s.slowness)
+	s.updated = now
+}
+
+func (r *Ranking) cost(route string, candidate *pollencatalog.Server, s *server, now time.Time) time.Duration {
+	typical := float64(r.typical(route))
+	latency := typical * s.slownessAt(now)
+	queued := float64(len(s.open)) / float64(max(candidate.Slots, 1))
+	cost := latency*(1+queued) + typical*failurePenalty*s.failingAt(now)
+	return time.Duration(cost) + s.stall(now)
+}
+
+// stall returns by how much the oldest open request is over its expected latency, zero below the stall factor.
+func (s *server) stall(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for p := range s.open {
+		age := now.Sub(p.started)
+		if float64(age) > stallFactor*float64(p.expected) {
+			longest = max(longest, age)
+		}
+	}
+	return longest
+}
+
+func (s *server) slownessAt(now time.Time) float64 {
+	return 1 + (s.slowness-1)*s.remembered(now)
+}
+
+func (s *server) failingAt(now time.Time) float64 { return s.failing * s.remembered(now) }
+
+func (s *server) remembered(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(s.updated)) / float64(forgetting))
+}
+
+func (s *server) leftOut(now time.Time) bool {
+	if s.failures < ejectionFailures {
+		return false
+	}
+	return s.probing != nil || now.Before(s.ejectedUntil)
+}
+
+func (s *server) fail(now time.Time) {
+	s.failures++
+	if s.failures < ejectionFailures {
+		return
+	}
+	doublings := min(s.failures-ejectionFailures, 8)
+	s.ejectedUntil = now.Add(min(firstEjection<<doublings, longestEjection))
+}
--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -10,6 +10,7 @@
 	"pollenline.example/pollen/polleninstance"
 	"pollenline.example/pollen/pollenlog"
 	"pollenline.example/pollen/pollensettings"
+	"pollenline.example/pollenentry/pollenfront"
 )
 
 func main() {
@@ -32,9 +33,39 @@
 			Flags:       flags,
 			Run:         func(context.Context, []string) error { return check(file) },
 		},
+		&pollencommand.Command{
+			CommandName: "front",
+			Summary:     "serve callers on the users' platform until SIGTERM",
+			Help:        "front -settings FILE\n\nRuns one entry instance on the users' platform. SIGTERM begins a graceful shutdown.",
+			Flags:       flags,
+			Run:         func(ctx context.Context, _ []string) error { return front(ctx, file) },
+		},
 	))
 }
 
+// settingsVariable names the platform's variable that holds the path of the settings file.
+const settingsVariable = "POLLENLINE_CONFIG"
+
+func front(ctx context.Context, file string) error {
+	if path := os.Getenv(settingsVariable); path != "" {
+		file = path
+	}
+	settings := pollenfront.DefaultSettings()
+	if err := pollensettings.Load(file, settings); err != nil {
+		return err
+	}
+	writer := pollenlog.NewWriter(os.Stdout, pollenlog.WriterConfig{Queue: logQueue, LinesPerSecond: settings.LinesPerSecond})
+	defer writer.Close()
+	f, err := pollenfront.New(settings, pollenlog.Setup(writer, "pollenentry", settings.Name))
+	if err != nil {
+		return err
+	}
+	return f.Run(pollencommand.UntilSignal(ctx))
+}
+
+// logQueue is the number of log lines that wait for the output at most, some hundred kilobytes.
+const logQueue = 512
+
 func serve(ctx context.Context, file string) error {
 	settings := polleninstance.DefaultSettings()
 	if err := pollensettings.Load(file, settings); err != nil {
--- /dev/null
+++ b/pollenentry/pollenfront/doc.go
@@ -0,0 +1,2 @@
+// Package pollenfront assembles an entry instance that serves callers on the users' platform.
+package pollenfront
--- /dev/null
+++ b/pollenentry/pollenfront/front.go
@@ -0,0 +1,267 @@
+package pollenfront
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"k8s.io/klog/v2"
+
+	"pollenline.example/platform"
+	"pollenline.example/pollen/pollenactor"
+	"pollenline.example/pollen/pollenbudget"
+	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenfollow"
+	"pollenline.example/pollen/pollenforward"
+	"pollenline.example/pollen/pollenpool"
+	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenview"
+)
+
+// Front is an entry instance.
+type Front struct {
+	settings  *Settings
+	self      pollencatalog.Instance
+	view      *pollenview.View
+	actor     *pollenactor.Actor
+	pool      *pollenpool.Pool
+	ranking   *pollenrank.Ranking
+	registrar *pollenfollow.Registrar
+	follower  *pollenfollow.Follower
+	metrics   *metrics
+	leaving   atomic.Bool
+	stale     atomic.Bool
+	listed    chan struct{}
+	servers   []*http.Server
+}
+
+const (
+	// dialTimeout bounds new connections to servers; a server in reach takes milliseconds.
+	dialTimeout = 500 * time.Millisecond
+	// serverIdle is how long an idle connection to a server that states no timeout is used.
+	serverIdle = 5 * time.Second
+	// linger is how long requests that lost against a hedge are left to end.
+	linger = 300 * time.Millisecond
+	// answerBytes bounds a server's answer in memory.
+	answerBytes = 8 << 20
+	// returnTime is how long after an outage of the store entries that lapsed may still be missing: two seconds
+	// by the platform's account, and a margin for the watch.
+	returnTime = 2300 * time.Millisecond
+	// departedMemory keeps the shares of limits from growing at once when many instances leave the list.
+	departedMemory = 15 * time.Second
+	// tickInterval is the resolution of the view's time-dependent state.
+	tickInterval = 250 * time.Millisecond
+	// lifetime is how long callers use an answer of the directory.
+	lifetime = time.Second
+)
+
+// keepAlive finds connections that have gone silent within two seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
+// New assembles an instance that has not begun to serve.
+func New(settings *Settings, logger *slog.Logger) (*Front, error) {
+	f := &Front{
+		settings: settings,
+		self: pollencatalog.Instance{
+			Name: settings.Name, Zone: settings.Zone, CallerAddress: settings.CallerAddress, Ready: true,
+			Incarnation: fmt.Sprintf("%016x", rand.Uint64()),
+		},
+		pool:    pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: serverIdle, KeepAlive: keepAlive}),
+		ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
+		metrics: newMetrics(),
+		listed:  make(chan struct{}),
+	}
+	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
+		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAlive,
+	})
+	f.view = pollenview.New(pollenview.Config{
+		Decoder: pollenplatform.Decoder{}, Return: returnTime, Memory: departedMemory, Published: f.published,
+	})
+	f.actor = pollenactor.Spawn(logger, f.view.Receive)
+	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
+		Reader: store, Post: f.post, Wait: settings.StoreWait.Std(), Pause: settings.StorePause.Std(),
+	})
+	key, value, err := pollenplatform.EncodeInstance(f.self)
+	if err != nil {
+		return nil, err
+	}
+	f.registrar = pollenfollow.NewRegistrar(pollenfollow.RegistrarConfig{
+		Writer: store, Key: key, Value: value, Lease: settings.InstanceLease.Std(), Regained: f.follower.Restart,
+	})
+	f.servers = []*http.Server{
+		f.server(settings.CallerAddress, f.ingress()),
+		f.server(settings.DirectoryAddress, pollenplatform.NewDirectory(pollenplatform.DirectoryConfig{
+			Instances: f.instances, Lifetime: min(lifetime, settings.LongestLifetime.Std()),
+		})),
+		f.server(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
+		f.server(settings.MetricsAddress, promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{})),
+	}
+	return f, nil
+}
+
+func (f *Front) ingress() http.Handler {
+	forwarder := pollenforward.New(pollenforward.Config{
+		Exchanger: pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, AnswerBytes: answerBytes}),
+		Ranking:   f.ranking,
+		Budget: pollenbudget.New(pollenbudget.Config{
+			Ratio: f.settings.RetryRatio, Slack: f.settings.RetrySlack, Window: f.settings.RetryWindow.Std(),
+		}),
+		Table:      f.view.Table,
+		CallerTrip: f.settings.CallerTrip.Std(),
+		Linger:     linger,
+		Splitter:   &pollenforward.Splitter{},
+	})
+	return pollenplatform.NewIngress(pollenplatform.IngressConfig{
+		Server: forwarder, Observer: f.metrics, Table: f.view.Table, Leaving: f.leaving.Load, Stale: f.stale.Load,
+	})
+}
+
+// Run serves until ctx is done and the shutdown that follows has ended.
+func (f *Front) Run(ctx context.Context) error {
+	klog.InfoS("Start", "zone", f.settings.Zone, "callerAddress", f.settings.CallerAddress.String(), "incarnation", f.self.Incarnation)
+	failed := make(chan error, len(f.servers))
+	for _, server := range f.servers {
+		listener, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			return &ListenError{Address: server.Addr, Err: err}
+		}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	registration, unregister := context.WithCancel(background)
+	unregistered := make(chan struct{})
+	go f.follower.Run(background)
+	go f.tick(background)
+	go func() {
+		defer close(unregistered)
+		select {
+		case <-f.listed:
+			f.registrar.Run(registration)
+		case <-registration.Done():
+		}
+	}()
+	select {
+	case err := <-failed:
+		unregister()
+		return err
+	case <-ctx.Done():
+	}
+	f.leaving.Store(true)
+	klog.InfoS("Stop", "timeout", f.settings.StopTimeout.Std().String())
+	unregister()
+	f.shutDown()
+	<-unregistered
+	klog.InfoS("Stopped")
+	return nil
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.Address, e.Err) }
+
+func (e *ListenError) Unwrap() error { return e.Err }
+
+const (
+	// serveShare is the share of the stop timeout during which late callers are still served: their copies of the
+	// directory's answer have expired by then.
+	serveShare = 0.7
+	// endShare is the share of the stop timeout after which the process ends in any case.
+	endShare = 0.93
+)
+
+// shutDown serves callers that have not heard yet, then waits for open requests.
+func (f *Front) shutDown() {
+	stop := f.settings.StopTimeout.Std()
+	begun := time.Now()
+	time.Sleep(time.Duration(float64(stop) * serveShare))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(float64(stop)*endShare)))
+	defer cancel()
+	if err := f.servers[0].Shutdown(ctx); err != nil {
+		klog.ErrorS(err, "Requests are cut off by the end of the process")
+	}
+}
+
+func (f *Front) server(address netip.AddrPort, handler http.Handler) *http.Server {
+	return &http.Server{
+		Addr: address.String(), Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+}
+
+const (
+	// headerTimeout bounds how long a caller may take to send a header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a caller's connection may be idle.
+	idleTimeout = 2 * time.Minute
+)
+
+func (f *Front) post(message any) {
+	switch message.(type) {
+	case pollenview.StoreLost:
+		f.stale.Store(true)
+	case pollenview.Listed, pollenview.Changed, pollenview.StoreRegained:
+		f.stale.Store(false)
+	}
+	f.actor.Post(message)
+}
+
+// published reacts to a new table; the view's actor calls it.
+func (f *Front) published(table *pollencatalog.Table) {
+	f.ranking.Forget(table)
+	if table.Configuration() == nil {
+		return
+	}
+	select {
+	case <-f.listed:
+	default:
+		close(f.listed)
+	}
+	named := make(map[netip.AddrPort]bool)
+	table.Each(func(s *pollencatalog.Server) { named[s.Address] = !s.Leaving })
+	f.pool.Retain(named)
+}
+
+func (f *Front) ready() bool {
+	return !f.leaving.Load() && f.view.Table().Configuration() != nil
+}
+
+func (f *Front) instances() []pollencatalog.Instance {
+	var ready []pollencatalog.Instance
+	named := false
+	for _, instance := range f.view.Table().Instances() {
+		own := instance.Name == f.self.Name
+		if instance.Ready && (!own || f.ready()) {
+			ready = append(ready, instance)
+			named = named || own
+		}
+	}
+	if !named && f.ready() {
+		ready = append(ready, f.self)
+	}
+	return ready
+}
+
+func (f *Front) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.actor.Post(pollenview.Tick{})
+		}
+	}
+}
--- /dev/null
+++ b/pollenentry/pollenfront/metrics.go
@@ -0,0 +1,36 @@
+package pollenfront
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics holds the instance's counters and histograms.
+type metrics struct {
+	registry *prometheus.Registry
+	latency  *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pollen_request_seconds", Help: "Latency of callers' requests by route.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"route"}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollen_requests_total", Help: "Callers' requests by route and status.",
+		}, []string{"route", "status"}),
+	}
+	m.registry.MustRegister(m.latency, m.requests)
+	return m
+}
+
+// Observe implements pollenplatform.Observer.
+func (m *metrics) Observe(route string, status int, latency time.Duration) {
+	m.latency.WithLabelValues(route).Observe(latency.Seconds())
+	m.requests.WithLabelValues(route, strconv.Itoa(status)).Inc()
+}
