Reload settings at SIGHUP, find deaf watches, wait for a free connection

With 12 instances the reserve left one connection to a server, and a request that found it in use failed its shard at once. Change: SIGHUP and a changed file reload the settings; a watch's wait and slack follow from the configuration bound; requests wait for a connection until their leg is answered.

--- a/pollen/pollenbudget/budget.go
+++ b/pollen/pollenbudget/budget.go
@@ -37,6 +37,16 @@
 	return &Budget{config: config, services: make(map[string]*account)}
 }
 
+// Configure replaces the limits; requests that were counted stay counted unless the window changes.
+func (b *Budget) Configure(config Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if config.Window != b.config.Window {
+		b.services = make(map[string]*account)
+	}
+	b.config = config
+}
+
 // Count counts the first request for a service.
 func (b *Budget) Count(service string, now time.Time) {
 	b.mu.Lock()
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -35,6 +35,9 @@
 	// open counts requests without an answer, runs those that may have run, sends all of them.
 	open, runs, sends int
 	tried             []attempt
+	// needed is cancelled when the leg is answered or the call has ended.
+	needed  context.Context
+	satisfy context.CancelFunc
 }
 
 // attempt is one request of a leg to one server.
@@ -66,7 +69,10 @@
 		return nil, err
 	}
 	for i := range c.legs {
-		c.forwarder.config.Budget.Count(c.legs[i].service, now)
+		l := &c.legs[i]
+		l.needed, l.satisfy = context.WithDeadline(sending, c.schedule.Limit)
+		defer l.satisfy()
+		c.forwarder.config.Budget.Count(l.service, now)
 		c.send(i, now)
 	}
 	timer := time.NewTimer(0)
@@ -140,7 +146,7 @@
 	c.account.LastServer = server.ID
 	order := Order{
 		Request: c.request, Server: server, TimeLeft: c.schedule.Limit.Sub(now),
-		Connections: c.forwarder.connections(table, l.service),
+		Connections: c.forwarder.connections(table, l.service), Needed: l.needed,
 	}
 	go c.exchange(i, len(l.tried)-1, permit, order)
 	return true
@@ -180,16 +186,16 @@
 	ctx, cancel := context.WithDeadline(c.sending, c.schedule.Limit)
 	defer cancel()
 	answer, err := c.forwarder.config.Exchanger.Exchange(ctx, order)
-	permit.Finish(outcome(ctx, answer, err), time.Now())
+	permit.Finish(outcome(order.Needed, answer, err), time.Now())
 	c.results <- result{leg: i, attempt: number, answer: answer, err: err}
 }
 
-func outcome(ctx context.Context, answer *Answer, err error) pollenrank.Outcome {
+func outcome(needed context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
 	switch {
 	case errors.As(err, &notRun):
 		return pollenrank.Shed
-	case err != nil && ctx.Err() != nil:
+	case err != nil && needed.Err() != nil:
 		return pollenrank.Abandoned
 	case err != nil || answer.Status >= 500:
 		return pollenrank.Failed
@@ -205,6 +211,7 @@
 		c.ran = true
 		if l.answer == nil {
 			l.answer = r.answer
+			l.satisfy()
 			c.covered++
 		}
 		return
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -36,7 +36,7 @@
 const hedgeQuantile = 0.95
 
 // connectionReserve is the share of a server's connections that is left to instances that join.
-const connectionReserve = 0.15
+const connectionReserve = 0.05
 
 // Serve sends the request to the route's services and returns the reply with an account of what was done.
 //
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -33,6 +33,8 @@
 	Connections int
 	// TimeLeft is how long the server may work.
 	TimeLeft time.Duration
+	// Needed is done once the request is of no use any more unless it has been sent.
+	Needed context.Context
 }
 
 // Answer is a server's whole answer.
--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,6 +33,8 @@
 type host struct {
 	idle []*Conn
 	open int
+	// waiting holds the callers that wait for a connection, longest first.
+	waiting []chan *Conn
 }
 
 // Conn is a connection that is lent for one request.
@@ -44,16 +47,19 @@
 	until  time.Time
 }
 
-// LimitError reports that all connections to a server that this instance may open are in use.
-type LimitError struct {
+// WaitError reports a caller that stopped waiting for a connection; nothing was sent.
+type WaitError struct {
 	Address netip.AddrPort
 	Limit   int
+	Err     error
 }
 
-func (e *LimitError) Error() string {
-	return fmt.Sprintf("all %d connections to %v are in use", e.Limit, e.Address)
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("no connection to %v became free of the %d that may be open: %v", e.Address, e.Limit, e.Err)
 }
 
+func (e *WaitError) Unwrap() error { return e.Err }
+
 // DialError reports a connection that could not be made; nothing was sent.
 type DialError struct {
 	Address netip.AddrPort
@@ -88,11 +94,17 @@
 	bufferBytes = 2 << 10
 )
 
-// Get lends an idle connection to a server, or a new one while fewer than limit are open.
+// Get lends an idle connection to a server, or a new one while fewer than limit are open, or waits for one of them.
 func (p *Pool) Get(ctx context.Context, address netip.AddrPort, limit int) (*Conn, error) {
-	conn, err := p.reserve(address, limit)
-	if conn != nil || err != nil {
-		return conn, err
+	conn, waiting := p.reserve(address, limit)
+	if waiting != nil {
+		var err error
+		if conn, err = p.wait(ctx, address, limit, waiting); err != nil {
+			return nil, err
+		}
+	}
+	if conn != nil {
+		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
@@ -104,6 +116,29 @@
 	return &Conn{ClientConn: client, pool: p, address: address}, nil
 }
 
+// wait returns the connection that is handed over, or nil and no error if the caller may open one.
+func (p *Pool) wait(ctx context.Context, address netip.AddrPort, limit int, waiting chan *Conn) (*Conn, error) {
+	select {
+	case conn := <-waiting:
+		return conn, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	h := p.host(address)
+	before := len(h.waiting)
+	h.waiting = slices.DeleteFunc(h.waiting, func(w chan *Conn) bool { return w == waiting })
+	handedOver := len(h.waiting) == before
+	p.mu.Unlock()
+	if handedOver {
+		if conn := <-waiting; conn != nil {
+			conn.put(conn.until)
+		} else {
+			p.release(address)
+		}
+	}
+	return nil, &WaitError{Address: address, Limit: limit, Err: context.Cause(ctx)}
+}
+
 // Free reports whether a request can be sent to a server at once.
 func (p *Pool) Free(address netip.AddrPort, limit int) bool {
 	p.mu.Lock()
@@ -124,14 +159,29 @@
 		idle = c.pool.config.IdleTimeout
 	}
 	c.Reused = true
-	c.until = time.Now().Add(idle)
+	c.put(time.Now().Add(idle))
+}
+
+func (c *Conn) put(until time.Time) {
+	c.until = until
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(c.address)
+	if len(h.waiting) > 0 {
+		h.next() <- c
+		return
+	}
 	h.idle = append(h.idle, c)
 }
 
+// next removes the caller that has waited longest; its channel has room for one connection.
+func (h *host) next() chan *Conn {
+	w := h.waiting[0]
+	h.waiting = h.waiting[1:]
+	return w
+}
+
 // Discard closes a connection that must not be used again.
 func (c *Conn) Discard() {
 	// The connection is given up whether or not closing it reports an error.
@@ -161,8 +211,8 @@
 	}
 }
 
-// reserve returns a usable idle connection, or nil and no error if the caller may open one.
-func (p *Pool) reserve(address netip.AddrPort, limit int) (*Conn, error) {
+// reserve returns a usable idle connection, or nil if the caller may open one, or the channel to wait on.
+func (p *Pool) reserve(address netip.AddrPort, limit int) (*Conn, chan *Conn) {
 	now := time.Now()
 	var expired []*Conn
 	defer func() {
@@ -182,16 +232,23 @@
 		expired = append(expired, c)
 	}
 	if h.open-len(expired) >= limit {
-		return nil, &LimitError{Address: address, Limit: limit}
+		waiting := make(chan *Conn, 1)
+		h.waiting = append(h.waiting, waiting)
+		return nil, waiting
 	}
 	h.open++
 	return nil, nil
 }
 
+// release gives the place of a closed connection to the caller that has waited longest, if there is one.
 func (p *Pool) release(address netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(address)
+	if len(h.waiting) > 0 {
+		h.next() <- nil
+		return
+	}
 	h.open--
 	if h.open == 0 && len(h.idle) == 0 {
 		delete(p.hosts, address)
--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -5,6 +5,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"pollenline.example/pollen/pollencommand"
 	"pollenline.example/pollen/polleninstance"
@@ -47,6 +50,8 @@
 const settingsVariable = "POLLENLINE_CONFIG"
 
 func front(ctx context.Context, file string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	if path := os.Getenv(settingsVariable); path != "" {
 		file = path
 	}
@@ -60,9 +65,24 @@
 	if err != nil {
 		return err
 	}
-	return f.Run(pollencommand.UntilSignal(ctx))
+	ctx = pollencommand.UntilSignal(ctx)
+	go pollensettings.Follow(ctx, pollensettings.FollowConfig{
+		File: file, Interval: reloadInterval, Signals: hangups,
+		Apply: func(data []byte) error {
+			changed := pollenfront.DefaultSettings()
+			if err := pollensettings.Parse(data, changed); err != nil {
+				return err
+			}
+			f.Reload(changed)
+			return nil
+		},
+	})
+	return f.Run(ctx)
 }
 
+// reloadInterval is how often the settings file is looked at for a change that was not signalled.
+const reloadInterval = 2 * time.Second
+
 // logQueue is the number of log lines that wait for the output at most, some hundred kilobytes.
 const logQueue = 512
 
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -22,12 +22,14 @@
 	"pollenline.example/pollen/pollenforward"
 	"pollenline.example/pollen/pollenpool"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollenview"
 )
 
 // Front is an entry instance.
 type Front struct {
-	settings  *Settings
+	settings  atomic.Pointer[Settings]
+	budget    *pollenbudget.Budget
 	self      pollencatalog.Instance
 	view      *pollenview.View
 	actor     *pollenactor.Actor
@@ -62,13 +64,24 @@
 	lifetime = time.Second
 )
 
+// A watch that has gone deaf is found after its wait and its slack; with the pause before it and the listing after it,
+// a change is known within about four fifths of the time that it may take to be in force.
+const (
+	watchWaitShare  = 0.45
+	watchSlackShare = 0.2
+)
+
+func share(d pollensettings.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * part)
+}
+
 // keepAlive finds connections that have gone silent within two seconds.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
 // New assembles an instance that has not begun to serve.
 func New(settings *Settings, logger *slog.Logger) (*Front, error) {
 	f := &Front{
-		settings: settings,
+		budget: pollenbudget.New(settings.budget()),
 		self: pollencatalog.Instance{
 			Name: settings.Name, Zone: settings.Zone, CallerAddress: settings.CallerAddress, Ready: true,
 			Incarnation: fmt.Sprintf("%016x", rand.Uint64()),
@@ -78,15 +91,17 @@
 		metrics: newMetrics(),
 		listed:  make(chan struct{}),
 	}
+	f.settings.Store(settings)
 	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
 		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAlive,
+		WatchSlack: share(settings.ConfigurationDelay, watchSlackShare),
 	})
 	f.view = pollenview.New(pollenview.Config{
 		Decoder: pollenplatform.Decoder{}, Return: returnTime, Memory: departedMemory, Published: f.published,
 	})
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
-		Reader: store, Post: f.post, Wait: settings.StoreWait.Std(), Pause: settings.StorePause.Std(),
+		Reader: store, Post: f.post, Wait: share(settings.ConfigurationDelay, watchWaitShare), Pause: settings.StorePause.Std(),
 	})
 	key, value, err := pollenplatform.EncodeInstance(f.self)
 	if err != nil {
@@ -108,13 +123,11 @@
 
 func (f *Front) ingress() http.Handler {
 	forwarder := pollenforward.New(pollenforward.Config{
-		Exchanger: pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, AnswerBytes: answerBytes}),
-		Ranking:   f.ranking,
-		Budget: pollenbudget.New(pollenbudget.Config{
-			Ratio: f.settings.RetryRatio, Slack: f.settings.RetrySlack, Window: f.settings.RetryWindow.Std(),
-		}),
+		Exchanger:  pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, AnswerBytes: answerBytes}),
+		Ranking:    f.ranking,
+		Budget:     f.budget,
 		Table:      f.view.Table,
-		CallerTrip: f.settings.CallerTrip.Std(),
+		CallerTrip: f.settings.Load().CallerTrip.Std(),
 		Linger:     linger,
 		Splitter:   &pollenforward.Splitter{},
 	})
@@ -125,7 +138,7 @@
 
 // Run serves until ctx is done and the shutdown that follows has ended.
 func (f *Front) Run(ctx context.Context) error {
-	klog.InfoS("Start", "zone", f.settings.Zone, "callerAddress", f.settings.CallerAddress.String(), "incarnation", f.self.Incarnation)
+	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	failed := make(chan error, len(f.servers))
 	for _, server := range f.servers {
 		listener, err := net.Listen("tcp", server.Addr)
@@ -155,7 +168,7 @@
 	case <-ctx.Done():
 	}
 	f.leaving.Store(true)
-	klog.InfoS("Stop", "timeout", f.settings.StopTimeout.Std().String())
+	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	unregister()
 	f.shutDown()
 	<-unregistered
@@ -163,6 +176,13 @@
 	return nil
 }
 
+// Reload applies the settings that can change while the instance serves, and logs those that need a restart.
+func (f *Front) Reload(settings *Settings) {
+	before := f.settings.Swap(settings)
+	f.budget.Configure(settings.budget())
+	klog.InfoS("Reload", "changed", *before != *settings, "restartNeeded", before.fixed() != settings.fixed())
+}
+
 // ListenError reports an address that can't be listened on.
 type ListenError struct {
 	Address string
@@ -183,7 +203,7 @@
 
 // shutDown serves callers that have not heard yet, then waits for open requests.
 func (f *Front) shutDown() {
-	stop := f.settings.StopTimeout.Std()
+	stop := f.settings.Load().StopTimeout.Std()
 	begun := time.Now()
 	time.Sleep(time.Duration(float64(stop) * serveShare))
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(float64(stop)*endShare)))
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollensettings"
 )
 
@@ -34,8 +35,8 @@
 	StoreTimeout pollensettings.Duration
 	// StorePause is how long an instance waits after a watch was answered.
 	StorePause pollensettings.Duration
-	// StoreWait is how long a watch waits for an event.
-	StoreWait pollensettings.Duration
+	// ConfigurationDelay is the time within which a change in the store must be in force.
+	ConfigurationDelay pollensettings.Duration
 	// InstanceLease is how long others name an instance that has died.
 	InstanceLease pollensettings.Duration
 	// LinesPerSecond bounds the log.
@@ -47,18 +48,30 @@
 // DefaultSettings returns settings for what a file may leave out.
 func DefaultSettings() *Settings {
 	return &Settings{
-		RetryWindow:     pollensettings.Duration(10 * time.Second),
-		StopTimeout:     pollensettings.Duration(6 * time.Second),
-		LongestLifetime: pollensettings.Duration(5 * time.Second),
-		CallerTrip:      pollensettings.Duration(10 * time.Millisecond),
-		StoreTimeout:    pollensettings.Duration(time.Second),
-		StorePause:      pollensettings.Duration(400 * time.Millisecond),
-		StoreWait:       pollensettings.Duration(25 * time.Second),
-		InstanceLease:   pollensettings.Duration(3 * time.Second),
-		LinesPerSecond:  400,
+		RetryWindow:        pollensettings.Duration(10 * time.Second),
+		StopTimeout:        pollensettings.Duration(6 * time.Second),
+		LongestLifetime:    pollensettings.Duration(5 * time.Second),
+		CallerTrip:         pollensettings.Duration(10 * time.Millisecond),
+		StoreTimeout:       pollensettings.Duration(time.Second),
+		StorePause:         pollensettings.Duration(400 * time.Millisecond),
+		ConfigurationDelay: pollensettings.Duration(3 * time.Second),
+		InstanceLease:      pollensettings.Duration(3 * time.Second),
+		LinesPerSecond:     400,
 	}
 }
 
+// budget returns the limits of extra requests.
+func (s *Settings) budget() pollenbudget.Config {
+	return pollenbudget.Config{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.Std()}
+}
+
+// fixed returns the settings that take effect at the next start only.
+func (s *Settings) fixed() Settings {
+	fixed := *s
+	fixed.RetryRatio, fixed.RetrySlack, fixed.RetryWindow, fixed.StopTimeout = 0, 0, 0, 0
+	return fixed
+}
+
 // Check implements pollensettings.Checker.
 func (s *Settings) Check() error {
 	for _, text := range []struct{ field, value string }{{"Name", s.Name}, {"Zone", s.Zone}} {
@@ -83,7 +96,7 @@
 	}{
 		{"RetryWindow", s.RetryWindow}, {"StopTimeout", s.StopTimeout}, {"LongestLifetime", s.LongestLifetime},
 		{"CallerTrip", s.CallerTrip}, {"StoreTimeout", s.StoreTimeout}, {"StorePause", s.StorePause},
-		{"StoreWait", s.StoreWait}, {"InstanceLease", s.InstanceLease},
+		{"ConfigurationDelay", s.ConfigurationDelay}, {"InstanceLease", s.InstanceLease},
 	} {
 		if err := pollensettings.RequirePositive(duration.field, duration.value); err != nil {
 			return err
