--- /dev/null
+++ b/pollen/pollenfollow/follow_test.go
@@ -0,0 +1,248 @@
+package pollenfollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenstore"
+	"pollenline.example/pollen/pollenview"
+)
+
+// scriptedStore answers calls one after the other as a test says; a nil step hangs until the call is cancelled.
+type scriptedStore struct {
+	mu    sync.Mutex
+	steps []step
+	calls []string
+}
+
+type step struct {
+	listing *pollenstore.Listing
+	changes *pollenstore.Changes
+	err     error
+}
+
+var errDown = errors.New("store is down")
+
+func (s *scriptedStore) next(ctx context.Context, call string) (step, error) {
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	if len(s.steps) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return step{}, ctx.Err()
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	s.mu.Unlock()
+	return next, next.err
+}
+
+func (s *scriptedStore) List(ctx context.Context, _ string) (pollenstore.Listing, error) {
+	next, err := s.next(ctx, "list")
+	if next.listing == nil {
+		return pollenstore.Listing{}, err
+	}
+	return *next.listing, err
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (pollenstore.Changes, error) {
+	next, err := s.next(ctx, fmt.Sprintf("watch %d", after))
+	if next.changes == nil {
+		return pollenstore.Changes{}, err
+	}
+	return *next.changes, err
+}
+
+func listing(revision uint64) step { return step{listing: &pollenstore.Listing{Revision: revision}} }
+
+func changes(revision uint64, events int) step {
+	return step{changes: &pollenstore.Changes{Revision: revision, Events: make([]pollenstore.Event, events)}}
+}
+
+func down() step { return step{err: errDown} }
+
+func TestFollower(t *testing.T) {
+	tests := []struct {
+		name   string
+		steps  []step
+		calls  []string
+		posted []string
+	}{
+		{
+			"list, then watch", []step{listing(5), changes(6, 1), changes(6, 0)},
+			[]string{"list", "watch 5", "watch 6", "watch 6"}, []string{"listed", "changed"},
+		},
+		{
+			"listing is repeated until it is answered", []step{down(), down(), listing(5)},
+			[]string{"list", "list", "list", "watch 5"}, []string{"lost", "lost", "regained", "listed"},
+		},
+		{
+			"cut watch goes on where it was", []step{listing(5), changes(7, 2), down(), changes(8, 1)},
+			[]string{"list", "watch 5", "watch 7", "watch 7", "watch 8"}, []string{"listed", "changed", "lost", "regained", "changed"},
+		},
+		{
+			"history gone", []step{listing(5), {err: &pollenstore.CompactedError{Oldest: 9}}, listing(12)},
+			[]string{"list", "watch 5", "list", "watch 12"}, []string{"listed", "listed"},
+		},
+		{
+			"revision does not go back", []step{listing(5), changes(9, 1), changes(3, 0)},
+			[]string{"list", "watch 5", "watch 9", "watch 9"}, []string{"listed", "changed"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := &scriptedStore{steps: test.steps}
+				var posted []string
+				f := NewFollower(FollowerConfig{Reader: store, Wait: time.Second, Pause: 400 * time.Millisecond, Post: func(m any) {
+					posted = append(posted, kind(m))
+				}})
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Run(ctx)
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				cancel()
+				synctest.Wait()
+				c.Assert(store.calls, qt.DeepEquals, test.calls)
+				c.Assert(posted, qt.DeepEquals, test.posted)
+			})
+		})
+	}
+}
+
+func kind(message any) string {
+	switch message.(type) {
+	case pollenview.Listed:
+		return "listed"
+	case pollenview.Changed:
+		return "changed"
+	case pollenview.StoreLost:
+		return "lost"
+	case pollenview.StoreRegained:
+		return "regained"
+	}
+	return "other"
+}
+
+func TestRestartAsksAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := &scriptedStore{steps: []step{listing(5)}}
+		f := NewFollower(FollowerConfig{Reader: store, Wait: time.Hour, Post: func(any) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		synctest.Wait()
+		f.Restart()
+		synctest.Wait()
+		c.Assert(store.calls, qt.DeepEquals, []string{"list", "watch 5", "watch 5"})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// leaseStore keeps leases as the platform's store does.
+type leaseStore struct {
+	mu      sync.Mutex
+	down    bool
+	revoked bool
+	lease   uint64
+	keys    map[string]uint64
+	renewed int
+}
+
+func (s *leaseStore) enter() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
+	return nil
+}
+
+func (s *leaseStore) Grant(_ context.Context, duration time.Duration) (pollenstore.Lease, error) {
+	if err := s.enter(); err != nil {
+		return pollenstore.Lease{}, err
+	}
+	s.lease++
+	s.revoked = false
+	return pollenstore.Lease{ID: s.lease, Duration: duration}, nil
+}
+
+func (s *leaseStore) Renew(_ context.Context, id uint64) error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	s.renewed++
+	if s.revoked || id != s.lease {
+		return &pollenstore.LeaseGoneError{ID: id}
+	}
+	return nil
+}
+
+func (s *leaseStore) Revoke(_ context.Context, id uint64) error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	for key, lease := range s.keys {
+		if lease == id {
+			delete(s.keys, key)
+		}
+	}
+	return nil
+}
+
+func (s *leaseStore) Put(_ context.Context, key string, _ []byte, lease uint64) error {
+	if err := s.enter(); err != nil {
+		return err
+	}
+	s.keys[key] = lease
+	return nil
+}
+
+func TestRegistrar(t *testing.T) {
+	tests := []struct {
+		name     string
+		upset    func(s *leaseStore, r *Registrar)
+		lease    uint64
+		regained int
+	}{
+		{"quiet", func(*leaseStore, *Registrar) {}, 1, 0},
+		{"lease is gone", func(s *leaseStore, _ *Registrar) { s.revoked = true; clear(s.keys) }, 2, 1},
+		{"store is down for a while", func(s *leaseStore, _ *Registrar) {
+			s.down = true
+			time.Sleep(5 * time.Second)
+			s.down = false
+		}, 1, 1},
+		{"key is gone, lease is not", func(s *leaseStore, r *Registrar) { clear(s.keys); r.Rewrite() }, 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := &leaseStore{keys: make(map[string]uint64)}
+				regained := 0
+				r := NewRegistrar(RegistrarConfig{Writer: store, Key: "k", Lease: 3 * time.Second, Regained: func() { regained++ }})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); r.Run(ctx) }()
+				time.Sleep(2500 * time.Millisecond)
+				test.upset(store, r)
+				time.Sleep(4 * time.Second)
+				c.Assert(store.keys, qt.DeepEquals, map[string]uint64{"k": test.lease})
+				c.Assert(regained, qt.Equals, test.regained)
+				c.Assert(store.renewed >= 5, qt.IsTrue)
+				cancel()
+				<-done
+				c.Assert(store.keys, qt.HasLen, 0)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pollen/pollenforward/forward_test.go
@@ -0,0 +1,431 @@
+package pollenforward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenbudget"
+	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrank"
+)
+
+// behaviour is what a fake server does with a request.
+type behaviour struct {
+	delay  time.Duration
+	status int
+	body   string
+	err    error
+	// hang keeps the request open until it is cancelled.
+	hang bool
+}
+
+// fleet is an Exchanger whose servers behave as a test says.
+type fleet struct {
+	mu        sync.Mutex
+	behaviour map[string]behaviour
+	sent      []string
+	cancelled int
+	timeLeft  []time.Duration
+}
+
+func (f *fleet) Free(*pollencatalog.Server, int) bool { return true }
+
+func (f *fleet) Exchange(ctx context.Context, order Order) (*Answer, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, order.Server.ID)
+	f.timeLeft = append(f.timeLeft, order.TimeLeft)
+	b := f.behaviour[order.Server.ID]
+	f.mu.Unlock()
+	wait := time.After(b.delay)
+	if b.hang {
+		wait = nil
+	}
+	select {
+	case <-ctx.Done():
+		f.mu.Lock()
+		f.cancelled++
+		f.mu.Unlock()
+		return nil, &BrokenError{Server: order.Server.ID, Err: ctx.Err()}
+	case <-wait:
+	}
+	if b.err != nil {
+		return nil, b.err
+	}
+	status := b.status
+	if status == 0 {
+		status = 200
+	}
+	return &Answer{Status: status, Body: []byte(b.body), Signature: "by " + order.Server.ID}, nil
+}
+
+func (f *fleet) count(server string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(slices.DeleteFunc(slices.Clone(f.sent), func(s string) bool { return s != server }))
+}
+
+// harness is a Forwarder over a fleet with two servers, a and b, for each service.
+type harness struct {
+	fleet     *fleet
+	forwarder *Forwarder
+	table     *pollencatalog.Table
+	ranking   *pollenrank.Ranking
+}
+
+func newHarness(services int, slack float64) *harness {
+	config := pollencatalog.TableConfig{
+		Configuration: &pollencatalog.Configuration{Version: 1, Services: map[string]pollencatalog.Service{}},
+		Instances:     []pollencatalog.Instance{{Name: "entry-1", Ready: true}},
+	}
+	for i := range services {
+		for j, name := range []string{"a", "b"} {
+			config.Servers = append(config.Servers, &pollencatalog.Server{
+				ID: fmt.Sprintf("%s%d", name, i), Service: service(i), Slots: 2, Zone: "zone-" + name,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(j), byte(i)}), 80),
+			})
+		}
+		config.Configuration.Services[service(i)] = pollencatalog.Service{Name: service(i), Connections: 26}
+	}
+	h := &harness{
+		fleet:   &fleet{behaviour: make(map[string]behaviour)},
+		table:   pollencatalog.NewTable(config),
+		ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(1, 2))}),
+	}
+	h.forwarder = New(Config{
+		Exchanger: h.fleet, Ranking: h.ranking, CallerTrip: 10 * time.Millisecond, Linger: 300 * time.Millisecond,
+		Budget:   pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}),
+		Table:    func() *pollencatalog.Table { return h.table },
+		Splitter: &Splitter{},
+	})
+	return h
+}
+
+// bubble runs a test in virtual time and lets the requests that were left to linger end.
+func bubble(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		test(t)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+func service(i int) string { return fmt.Sprintf("shard-%d", i) }
+
+func plainRoute(idempotent bool) *pollencatalog.Route {
+	return &pollencatalog.Route{
+		Name: "plain", Idempotent: idempotent, Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Split: []pollencatalog.Share{{Service: service(0), Weight: 1}},
+	}
+}
+
+func shardedRoute(services int) *pollencatalog.Route {
+	r := &pollencatalog.Route{
+		Name: "sharded", Idempotent: true, Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		MinimumCoverage: 0.75, Top: 3,
+	}
+	for i := range services {
+		r.Shards = append(r.Shards, service(i))
+	}
+	return r
+}
+
+func (h *harness) serve(ctx context.Context, route *pollencatalog.Route) (*Reply, *Account, time.Duration, error) {
+	begun := time.Now()
+	reply, account, err := h.forwarder.Serve(ctx, route, &Request{ID: "r", Received: begun, Patience: time.Second})
+	return reply, account, time.Since(begun), err
+}
+
+// setAll gives both servers of a service the same behaviour.
+func (h *harness) setAll(i int, b behaviour) {
+	h.fleet.behaviour[fmt.Sprintf("a%d", i)] = b
+	h.fleet.behaviour[fmt.Sprintf("b%d", i)] = b
+}
+
+var errReset = errors.New("connection reset")
+
+func TestPlainRequest(t *testing.T) {
+	broken := behaviour{delay: time.Millisecond, err: &BrokenError{Server: "x", Err: errReset}}
+	notRun := behaviour{delay: time.Millisecond, err: &NotRunError{Server: "x", Status: 503}}
+	unsent := behaviour{delay: time.Millisecond, err: &UnsentError{Server: "x", Err: errReset}}
+	tests := []struct {
+		name       string
+		idempotent bool
+		first      behaviour
+		second     behaviour
+		status     int
+		sends      int
+		refused    bool
+		failed     bool
+	}{
+		{name: "answered", first: behaviour{body: "x"}, second: behaviour{body: "x"}, status: 200, sends: 1},
+		{name: "rejection is relayed", first: behaviour{status: 400}, second: behaviour{status: 400}, status: 400, sends: 1},
+		{name: "broken is retried", idempotent: true, first: broken, second: behaviour{}, status: 200, sends: 2},
+		{name: "broken is not retried if it may have run", first: broken, second: broken, failed: true, sends: 1},
+		{name: "not run is retried", first: notRun, second: behaviour{}, status: 200, sends: 2},
+		{name: "unsent is retried", first: unsent, second: behaviour{}, status: 200, sends: 2},
+		{name: "not run anywhere is refused", first: notRun, second: notRun, refused: true, sends: 2},
+		{name: "not run, then broken", first: notRun, second: broken, failed: true, sends: 2},
+		{name: "failure with a signature is relayed", first: behaviour{status: 500}, second: behaviour{status: 500}, status: 500, sends: 1},
+		{name: "503 of a server that ran is no refusal", first: behaviour{status: 503}, second: behaviour{status: 503}, failed: true, sends: 1},
+		{name: "429 of a server that ran is no refusal", first: behaviour{status: 429}, second: behaviour{status: 429}, failed: true, sends: 1},
+		{name: "failure is retried", idempotent: true, first: behaviour{status: 500}, second: behaviour{}, status: 200, sends: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(1, 100)
+				h.fleet.behaviour["a0"], h.fleet.behaviour["b0"] = test.first, test.first
+				probe, _ := h.ranking.Best("plain", h.table.Usable(nil, service(0)), time.Now())
+				other := []string{"b0", "a0"}[probe]
+				h.preferFirst(probe)
+				h.fleet.behaviour[other] = test.second
+				reply, account, _, err := h.serve(t.Context(), plainRoute(test.idempotent))
+				c.Assert(account.Sends, qt.Equals, test.sends)
+				var refused *RefusedError
+				var failed *FailedError
+				c.Assert(errors.As(err, &refused), qt.Equals, test.refused)
+				c.Assert(errors.As(err, &failed), qt.Equals, test.failed)
+				if test.status != 0 {
+					c.Assert(err, qt.IsNil)
+					c.Assert(reply.Status, qt.Equals, test.status)
+				}
+			})
+		})
+	}
+}
+
+// preferFirst makes the other server look slow, so that the given one is asked first.
+func (h *harness) preferFirst(first int) {
+	servers := h.table.Usable(nil, service(0))
+	now := time.Now()
+	for range 30 {
+		h.ranking.Start("plain", servers[first], now.Add(-10*time.Millisecond)).Finish(pollenrank.Answered, now)
+	}
+	for range 5 {
+		h.ranking.Start("plain", servers[1-first], now.Add(-50*time.Millisecond)).Finish(pollenrank.Answered, now)
+	}
+}
+
+// Load pattern: one of two replicas stalls. The hedge must go to the other one, once, and only for idempotent requests.
+func TestHedge(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		hedges     int
+	}{
+		{"idempotent", true, 1},
+		{"not idempotent", false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(1, 100)
+				h.preferFirst(0)
+				h.fleet.behaviour["a0"] = behaviour{hang: true}
+				h.fleet.behaviour["b0"] = behaviour{delay: 10 * time.Millisecond}
+				_, account, took, err := h.serve(t.Context(), plainRoute(test.idempotent))
+				c.Assert(account.Hedges, qt.Equals, test.hedges)
+				c.Assert(h.fleet.count("b0"), qt.Equals, test.hedges)
+				if test.idempotent {
+					c.Assert(err, qt.IsNil)
+					c.Assert(took < 100*time.Millisecond, qt.IsTrue)
+				} else {
+					c.Assert(err, qt.ErrorAs, new(*FailedError))
+				}
+			})
+		})
+	}
+}
+
+// Load pattern: a shard is paused beyond the objective. The answer must leave in time without it, and must say so.
+func TestSealLeavesSlowShardOut(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(8, 100)
+		for i := range 8 {
+			h.setAll(i, behaviour{delay: 5 * time.Millisecond, body: strings.Repeat(string(rune('a'+i)), RecordBytes)})
+		}
+		h.setAll(3, behaviour{delay: 400 * time.Millisecond})
+		reply, account, took, err := h.serve(t.Context(), shardedRoute(8))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Missing, qt.Equals, 1)
+		c.Assert(reply.Parts, qt.HasLen, 7)
+		c.Assert(slices.Contains(reply.Parts, "by a3") || slices.Contains(reply.Parts, "by b3"), qt.IsFalse)
+		c.Assert(account.Covered, qt.Equals, 7)
+		c.Assert(took < 90*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+		c.Assert(string(reply.Body), qt.Equals, strings.Repeat("h", 16)+strings.Repeat("g", 16)+strings.Repeat("f", 16))
+	})
+}
+
+// Load pattern: too few shards are in when the objective passes. A late answer with enough of them is better than none.
+func TestWaitsForCoverageBeyondObjective(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(8, 100)
+		for i := range 8 {
+			h.setAll(i, behaviour{delay: time.Duration(50*(i+1)) * time.Millisecond})
+		}
+		reply, _, took, err := h.serve(t.Context(), shardedRoute(8))
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Missing, qt.Equals, 2)
+		c.Assert(took, qt.Equals, 300*time.Millisecond)
+	})
+}
+
+// Load pattern: all servers of several shards are down. Once that is known, a query must not use slots of the others.
+func TestRefusesWithoutEnoughShards(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(8, 100)
+		for i := range 3 {
+			h.setAll(i, behaviour{delay: time.Millisecond, err: &BrokenError{Server: "x", Err: errReset}})
+		}
+		var refused *RefusedError
+		for range 20 {
+			_, _, _, err := h.serve(t.Context(), shardedRoute(8))
+			c.Assert(err, qt.IsNotNil)
+			if errors.As(err, &refused) {
+				break
+			}
+		}
+		c.Assert(refused, qt.IsNotNil)
+		before := len(h.fleet.sent)
+		_, account, took, err := h.serve(t.Context(), shardedRoute(8))
+		c.Assert(err, qt.ErrorAs, &refused)
+		c.Assert(len(h.fleet.sent), qt.Equals, before)
+		c.Assert(account.Sends, qt.Equals, 0)
+		c.Assert(took, qt.Equals, time.Duration(0))
+		c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+	})
+}
+
+// Load pattern: servers fail on every request. Extra requests must stay within the budget.
+func TestBudgetBoundsRetries(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(1, 10)
+		h.setAll(0, behaviour{delay: time.Millisecond, err: &NotRunError{Server: "x", Status: 503}})
+		sends := 0
+		const requests = 200
+		for range requests {
+			_, account, _, _ := h.serve(t.Context(), plainRoute(true))
+			sends += account.Sends
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(sends <= requests+requests/5+10, qt.IsTrue, qt.Commentf("%d requests to servers", sends))
+		c.Assert(sends > requests, qt.IsTrue)
+	})
+}
+
+func TestCallerGone(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(4, 100)
+		for i := range 4 {
+			h.setAll(i, behaviour{hang: true})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		_, _, took, err := h.serve(ctx, shardedRoute(4))
+		c.Assert(err, qt.ErrorAs, new(*GoneError))
+		c.Assert(took, qt.Equals, 20*time.Millisecond)
+		synctest.Wait()
+		c.Assert(h.fleet.cancelled, qt.Equals, len(h.fleet.sent))
+	})
+}
+
+func TestEndsAtTimeoutAndDeadline(t *testing.T) {
+	tests := []struct {
+		name     string
+		timeout  time.Duration
+		patience time.Duration
+		limit    time.Duration
+	}{
+		{"route's timeout", 300 * time.Millisecond, time.Second, 300 * time.Millisecond},
+		{"caller's deadline", time.Second, 200 * time.Millisecond, 200 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(1, 100)
+				h.setAll(0, behaviour{hang: true})
+				route := plainRoute(false)
+				route.Timeout = test.timeout
+				begun := time.Now()
+				_, _, err := h.forwarder.Serve(t.Context(), route, &Request{ID: "r", Received: begun, Patience: test.patience})
+				var failed *FailedError
+				c.Assert(err, qt.ErrorAs, &failed)
+				c.Assert(failed.TimedOut, qt.IsTrue)
+				c.Assert(time.Since(begun) <= test.limit, qt.IsTrue)
+				c.Assert(h.fleet.timeLeft[0] <= test.limit, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// A server that has left or whose zone was evacuated after the request began gets neither hedge nor retry.
+func TestHedgeLooksUpTable(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(1, 100)
+		h.preferFirst(0)
+		h.fleet.behaviour["a0"] = behaviour{hang: true}
+		time.AfterFunc(time.Millisecond, func() {
+			h.table = pollencatalog.NewTable(pollencatalog.TableConfig{
+				Configuration: h.table.Configuration(), Servers: h.table.Usable(nil, service(0)),
+				Evacuated: map[string]bool{"zone-b": true},
+			})
+		})
+		_, _, _, err := h.serve(t.Context(), plainRoute(true))
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(h.fleet.count("b0"), qt.Equals, 0)
+	})
+}
+
+func TestSplit(t *testing.T) {
+	c := qt.New(t)
+	route := &pollencatalog.Route{Name: "r", Split: []pollencatalog.Share{{Service: "x", Weight: 70}, {Service: "y", Weight: 25}, {Service: "z", Weight: 5}}}
+	s := &Splitter{}
+	counts := make(map[string]int)
+	for range 100 {
+		counts[s.Choose(route)]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[string]int{"x": 70, "y": 25, "z": 5})
+}
+
+func TestMerge(t *testing.T) {
+	record := func(b byte) string { return strings.Repeat(string(rune(b)), RecordBytes) }
+	tests := []struct {
+		name   string
+		bodies []string
+		top    int
+		want   string
+	}{
+		{"greatest first", []string{record('a') + record('c'), record('b')}, 2, record('c') + record('b')},
+		{"equal records all count", []string{record('a'), record('a')}, 3, record('a') + record('a')},
+		{"remainder is no record", []string{record('a') + "zzz"}, 3, record('a')},
+		{"nothing", []string{""}, 3, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var bodies [][]byte
+			for _, body := range test.bodies {
+				bodies = append(bodies, []byte(body))
+			}
+			qt.Assert(t, string(Merge(bodies, test.top)), qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/pollen/pollenlog/writer_test.go
@@ -0,0 +1,65 @@
+package pollenlog
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// blockedOutput takes no bytes until it is opened.
+type blockedOutput struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (o *blockedOutput) Write(data []byte) (int, error) {
+	<-o.open
+	return o.Buffer.Write(data)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		out := &blockedOutput{open: make(chan struct{})}
+		w := NewWriter(out, WriterConfig{Queue: 10, LinesPerSecond: 1000})
+		for i := range 100 {
+			n, err := fmt.Fprintf(w, "line %d\n", i)
+			c.Assert(err, qt.IsNil)
+			c.Assert(n > 0, qt.IsTrue)
+		}
+		synctest.Wait()
+		close(out.open)
+		w.Close()
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		written := 0
+		for _, line := range lines {
+			if strings.HasPrefix(line, "line ") {
+				written++
+			}
+		}
+		c.Assert(written >= 10 && written <= 12, qt.IsTrue, qt.Commentf("%d lines", written))
+		c.Assert(out.String(), qt.Contains, fmt.Sprintf(`"Lines":%d}`, 100-written))
+	})
+}
+
+func TestWriterBoundsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		w := NewWriter(&out, WriterConfig{Queue: 1000, LinesPerSecond: 5})
+		for range 3 {
+			for range 20 {
+				fmt.Fprint(w, "x\n")
+			}
+			time.Sleep(time.Second)
+		}
+		w.Close()
+		c.Assert(strings.Count(out.String(), "x\n"), qt.Equals, 15)
+		c.Assert(out.String(), qt.Contains, "Log lines dropped")
+	})
+}
--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -19,6 +19,8 @@
 	IdleTimeout time.Duration
 	// KeepAlive detects connections that have gone silent.
 	KeepAlive net.KeepAliveConfig
+	// Dial makes connections in place of a net.Dialer, for tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Pool holds the connections of one instance to all servers.
@@ -72,11 +74,14 @@
 
 // New returns a Pool without connections.
 func New(config Config) *Pool {
-	dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}
+	dial := config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}).DialContext
+	}
 	return &Pool{
 		config: config,
 		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            dial,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maximumHeaderBytes,
 			ReadBufferSize:         bufferBytes,
--- a/pollen/pollenquantile/quantile.go
+++ b/pollen/pollenquantile/quantile.go
@@ -40,7 +40,7 @@
 // Samples returns the number of latencies that the estimate rests on.
 func (s *Sketch) Samples() int { return int(s.total) }
 
-// Quantile returns the latency below which the given share of samples lies, zero without samples.
+// Quantile returns about the latency below which the given share of samples lies, zero without samples.
 func (s *Sketch) Quantile(share float64) time.Duration {
 	if s.total == 0 {
 		return 0
@@ -49,10 +49,10 @@
 	for i, count := range s.counts {
 		rest -= count
 		if rest <= 0 {
-			return bound(i)
+			return middle(i)
 		}
 	}
-	return bound(buckets - 1)
+	return middle(buckets - 1)
 }
 
 func bucket(latency time.Duration) int {
@@ -63,6 +63,7 @@
 	return min(i+1, buckets-1)
 }
 
-func bound(i int) time.Duration {
-	return time.Duration(float64(lowest) * math.Pow(ratio, float64(i)))
+// middle returns the geometric middle of a bucket.
+func middle(i int) time.Duration {
+	return time.Duration(float64(lowest) * math.Pow(ratio, float64(i)-0.5))
 }
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -48,8 +48,9 @@
 	failurePenalty = 6
 	// stallFactor is the multiple of its expected latency after which an open request is taken as a stall.
 	stallFactor = 2.5
-	// jitter is the share by which estimates are varied, so that instances do not choose in step.
-	jitter = 0.1
+	// preference is the power of the latencies' ratio by which a faster server is preferred: 9 in 10 requests at a
+	// ratio of 1.5, 98 in 100 at 2.
+	preference = 6
 	// ejectionFailures is the number of failures in a row after which a server is left out.
 	ejectionFailures = 2
 	// firstEjection and longestEjection bound how long a failing server is left out; it doubles in between.
@@ -92,25 +93,34 @@
 	}
 }
 
-// Best returns the index of the server with the least expected latency, or false if all are left out.
+// Best returns the index of the server to ask, or false if all are left out.
 //
-// A cold server is chosen only if there is no warm one.
+// Servers are drawn at random, the more likely the less latency is expected of them, so that equally good ones share
+// the requests of instances that do not know of each other. A cold server is chosen only if there is no warm one.
 func (r *Ranking) Best(route string, candidates []*pollencatalog.Server, now time.Time) (int, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	best, found := 0, false
-	var bestCost float64
 	var bestCold bool
+	total := 0.0
 	for i, candidate := range candidates {
 		s := r.server(candidate)
 		if s.leftOut(now) {
 			continue
 		}
 		cold := candidate.Cold(now)
-		cost := float64(r.cost(route, candidate, s, now)) * (1 + jitter*r.random.Float64())
-		if !found || (bestCold && !cold) || (bestCold == cold && cost < bestCost) {
-			best, found, bestCost, bestCold = i, true, cost, cold
+		if found && cold && !bestCold {
+			continue
+		}
+		if !found || bestCold != cold {
+			total = 0
+		}
+		weight := math.Pow(r.cost(route, candidate, s, now).Seconds(), -preference)
+		total += weight
+		if !found || bestCold != cold || r.random.Float64()*total < weight {
+			best, bestCold = i, cold
 		}
+		found = true
 	}
 	return best, found
 }
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,8 @@
 	stale     atomic.Bool
 	listed    chan struct{}
 	servers   []*http.Server
+	// named is set while the table names this instance; the view's actor keeps it.
+	named bool
 }
 
 const (
@@ -248,9 +251,19 @@
 	default:
 		close(f.listed)
 	}
-	named := make(map[netip.AddrPort]bool)
-	table.Each(func(s *pollencatalog.Server) { named[s.Address] = !s.Leaving })
-	f.pool.Retain(named)
+	taking := make(map[netip.AddrPort]bool)
+	table.Each(func(s *pollencatalog.Server) { taking[s.Address] = taking[s.Address] || !s.Leaving })
+	f.pool.Retain(taking)
+	f.checkRegistration(table)
+}
+
+// checkRegistration writes the instance's key again if the store has dropped it while the lease lives.
+func (f *Front) checkRegistration(table *pollencatalog.Table) {
+	named := slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
+	if f.named && !named {
+		f.registrar.Rewrite()
+	}
+	f.named = named
 }
 
 func (f *Front) ready() bool {
--- /dev/null
+++ b/pollenentry/pollenfront/settings_test.go
@@ -0,0 +1,65 @@
+package pollenfront
+
+import (
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollensettings"
+)
+
+// examples holds a value for each placeholder of the settings template.
+var examples = map[string]string{
+	"node": "entry-1", "zone": "selfoss", "ip": "10.1.0.9",
+	"listen.http": "10.1.0.9:8104", "listen.readiness": "10.1.0.9:8108", "listen.directory": "10.1.0.9:8100",
+	"platform.address": "10.200.1.7:8102", "bounds.retry_ratio": "0.2", "bounds.retry_slack": "58",
+	"bounds.budget_window_s": "10", "bounds.grace_s": "6", "bounds.ttl_max_s": "5", "bounds.config_apply_ms": "3000",
+}
+
+func TestTemplateYieldsSettings(t *testing.T) {
+	c := qt.New(t)
+	template, err := os.ReadFile("../../deploy/settings.json")
+	c.Assert(err, qt.IsNil)
+	data := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllFunc(template, func(placeholder []byte) []byte {
+		value, ok := examples[string(placeholder[2:len(placeholder)-2])]
+		c.Assert(ok, qt.IsTrue, qt.Commentf("placeholder %s has no example", placeholder))
+		return []byte(value)
+	})
+	settings := DefaultSettings()
+	c.Assert(pollensettings.Parse(data, settings), qt.IsNil)
+	c.Assert(settings.ConfigurationDelay.Std(), qt.Equals, 3*time.Second)
+	c.Assert(settings.StopTimeout.Std(), qt.Equals, 6*time.Second)
+	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	const valid = `"Name":"a","Zone":"z","CallerAddress":"127.0.0.1:1","DirectoryAddress":"127.0.0.1:2",
+		"ReadinessAddress":"127.0.0.1:3","MetricsAddress":"127.0.0.1:4","StoreAddress":"127.0.0.1:5"`
+	tests := []struct {
+		name string
+		data string
+		want string
+	}{
+		{"valid", "{" + valid + "}", ""},
+		{"unknown field", "{" + valid + `,"Nam":"x"}`, "unknown field"},
+		{"duration of zero", "{" + valid + `,"StopTimeout":"0s"}`, "field StopTimeout"},
+		{"negative ratio", "{" + valid + `,"RetryRatio":-1}`, "field RetryRatio"},
+		{"negative slack", "{" + valid + `,"RetrySlack":-1}`, "field RetrySlack"},
+		{"no lines", "{" + valid + `,"LinesPerSecond":0}`, "field LinesPerSecond"},
+		{"nothing", "{}", "field Name"},
+		{"no address", `{"Name":"a","Zone":"z"}`, "field CallerAddress"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := pollensettings.Parse([]byte(test.data), DefaultSettings())
+			if test.want == "" {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.ErrorMatches, ".*"+test.want+".*")
+		})
+	}
+}
