Ask a failing server again, leave it out after silence only, keep fewer idle connections

After all machines lost power, servers still counted the old connections and reset 1,076 new ones. Change: a leg may ask the same servers again within its attempts; a server is left out after four failures and a second without an answer; a second idle connection is closed after a second; a server that resets a new connection is not asked for another one for 200 ms.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
@@ -44,7 +45,8 @@
 type attempt struct {
 	server *pollencatalog.Server
 	permit *pollenrank.Permit
-	notRun bool
+	// ended is set once there is a result, notRun if the server has not run the request.
+	ended, notRun bool
 }
 
 type result struct {
@@ -152,34 +154,65 @@
 	return true
 }
 
+// choose returns the server to ask next: one that has not been asked, else one that has failed the leg at once.
+//
+// Load pattern: every server loses a share of its answers. With two replicas a second round often succeeds where the
+// first did not, and stays within the number of servers that may run the request.
 func (c *call) choose(table *pollencatalog.Table, l *leg, now time.Time) (*pollencatalog.Server, bool) {
-	var free, busy []*pollencatalog.Server
-	connections := c.forwarder.connections(table, l.service)
+	var fresh, again []*pollencatalog.Server
 	for _, server := range table.Usable(nil, l.service) {
 		switch {
-		case l.asked(server):
-		case c.forwarder.config.Exchanger.Free(server, connections):
-			free = append(free, server)
-		default:
-			busy = append(busy, server)
+		case !l.asked(server):
+			fresh = append(fresh, server)
+		case !l.waitsFor(server):
+			again = append(again, server)
 		}
 	}
-	if best, ok := c.forwarder.config.Ranking.Best(c.route.Name, free, now); ok {
-		return free[best], true
+	if l.servers() >= c.route.Attempts {
+		fresh = nil
+	}
+	if server, ok := c.best(table, l, fresh, now); ok {
+		return server, true
+	}
+	return c.best(table, l, again, now)
+}
+
+// best returns the best of the servers that have a free connection, else the best of the others.
+func (c *call) best(table *pollencatalog.Table, l *leg, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
+	connections := c.forwarder.connections(table, l.service)
+	free := make([]*pollencatalog.Server, 0, len(servers))
+	for _, server := range servers {
+		if c.forwarder.config.Exchanger.Free(server, connections) {
+			free = append(free, server)
+		}
 	}
-	if best, ok := c.forwarder.config.Ranking.Best(c.route.Name, busy, now); ok {
-		return busy[best], true
+	for _, candidates := range [][]*pollencatalog.Server{free, servers} {
+		if i, ok := c.forwarder.config.Ranking.Best(c.route.Name, candidates, now); ok {
+			return candidates[i], true
+		}
 	}
 	return nil, false
 }
 
+// asked reports whether a request of the leg was sent to a server.
 func (l *leg) asked(server *pollencatalog.Server) bool {
+	return slices.ContainsFunc(l.tried, func(a attempt) bool { return a.server.Incarnation() == server.Incarnation() })
+}
+
+// waitsFor reports whether a request of the leg to a server is still open.
+func (l *leg) waitsFor(server *pollencatalog.Server) bool {
+	return slices.ContainsFunc(l.tried, func(a attempt) bool { return !a.ended && a.server.Incarnation() == server.Incarnation() })
+}
+
+// servers returns the number of servers that may have run a request of the leg or may still do so.
+func (l *leg) servers() int {
+	counted := make([]pollencatalog.Incarnation, 0, len(l.tried))
 	for _, a := range l.tried {
-		if a.server.Incarnation() == server.Incarnation() {
-			return true
+		if !a.notRun && !slices.Contains(counted, a.server.Incarnation()) {
+			counted = append(counted, a.server.Incarnation())
 		}
 	}
-	return false
+	return len(counted)
 }
 
 func (c *call) exchange(i, number int, permit *pollenrank.Permit, order Order) {
@@ -207,6 +240,7 @@
 func (c *call) take(r result) {
 	l := &c.legs[r.leg]
 	l.open--
+	l.tried[r.attempt].ended = true
 	if r.err == nil && c.usable(r.answer) {
 		c.ran = true
 		if l.answer == nil {
@@ -250,31 +284,23 @@
 
 // mayRetry reports whether a leg may send one more request, and takes it from the budget.
 func (c *call) mayRetry(l *leg, now time.Time) bool {
-	if l.runs+l.open >= c.route.Attempts || l.sends >= c.route.Attempts+spareSends || !now.Before(c.schedule.End) {
+	if l.sends >= c.route.Attempts+spareSends || !now.Before(c.schedule.End) {
 		return false
 	}
 	if !c.route.Idempotent && l.runs > 0 {
 		return false
 	}
-	if len(c.forwarder.config.Table().Usable(nil, l.service)) <= len(l.tried) && !c.hasUntried(l) {
+	table := c.forwarder.config.Table()
+	if _, ok := c.choose(table, l, now); !ok {
 		return false
 	}
-	if !c.forwarder.config.Budget.Take(l.service, now, c.forwarder.config.Table().Sharers()) {
+	if !c.forwarder.config.Budget.Take(l.service, now, table.Sharers()) {
 		c.account.Denied++
 		return false
 	}
 	return true
 }
 
-func (c *call) hasUntried(l *leg) bool {
-	for _, server := range c.forwarder.config.Table().Usable(nil, l.service) {
-		if !l.asked(server) {
-			return true
-		}
-	}
-	return false
-}
-
 // hedge asks another server for each leg that is still without an answer.
 func (c *call) hedge(now time.Time) {
 	if c.hedged || now.Before(c.schedule.Hedge) {
--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -37,6 +37,8 @@
 	open int
 	// waiting holds the callers that wait for a connection, longest first.
 	waiting []chan *Conn
+	// refusedUntil is when a connection may be tried again after the server has refused one.
+	refusedUntil time.Time
 }
 
 // Conn is a connection that is lent for one request.
@@ -47,6 +49,7 @@
 	// Reused is set if the connection has carried a request before.
 	Reused bool
 	until  time.Time
+	since  time.Time
 }
 
 // WaitError reports a caller that stopped waiting for a connection; nothing was sent.
@@ -92,6 +95,10 @@
 }
 
 const (
+	// refusalPause is how long a server that has reset a new connection is not asked for another one.
+	refusalPause = 200 * time.Millisecond
+	// spareIdle is how long a second idle connection to a server is kept.
+	spareIdle = time.Second
 	// maximumHeaderBytes bounds the header of a server's answer.
 	maximumHeaderBytes = 64 << 10
 	// bufferBytes is the size of each connection's buffers: an answer of one shard fits, and 100 connections
@@ -149,7 +156,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[address]
-	return !ok || len(h.idle) > 0 || h.open < limit
+	return !ok || len(h.idle) > 0 || (h.open < limit && !time.Now().Before(h.refusedUntil))
+}
+
+// Refused notes that the server has reset a new connection, which it does when it has too many.
+func (c *Conn) Refused() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.host(c.address).refusedUntil = time.Now().Add(refusalPause)
+}
+
+// Trim closes connections that are idle besides another one to the same server, so that the servers' limits leave room
+// for instances that have restarted and whose former connections are not yet given up.
+func (p *Pool) Trim() {
+	now := time.Now()
+	var spare []*Conn
+	p.mu.Lock()
+	for _, h := range p.hosts {
+		// The longest idle connections come first.
+		for len(h.idle) > 1 && now.Sub(h.idle[0].since) > spareIdle {
+			spare = append(spare, h.idle[0])
+			h.idle = h.idle[1:]
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range spare {
+		c.Discard()
+	}
 }
 
 // Put returns a connection whose answer was read to its end, to be used again until it has idled for idle.
@@ -168,7 +201,7 @@
 }
 
 func (c *Conn) put(until time.Time) {
-	c.until = until
+	c.until, c.since = until, time.Now()
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -51,8 +51,10 @@
 	// preference is the power of the latencies' ratio by which a faster server is preferred: 9 in 10 requests at a
 	// ratio of 1.5, 98 in 100 at 2.
 	preference = 6
-	// ejectionFailures is the number of failures in a row after which a server is left out.
-	ejectionFailures = 2
+	// ejectionFailures is the number of failures in a row after which a server is left out, unless it has answered
+	// within ejectionSilence: a server that loses half of its answers is better than none.
+	ejectionFailures = 4
+	ejectionSilence  = time.Second
 	// firstEjection and longestEjection bound how long a failing server is left out; it doubles in between.
 	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
@@ -66,6 +68,7 @@
 	// failing is the share of recent requests that were shed or failed.
 	failing  float64
 	updated  time.Time
+	answered time.Time
 	open     map[*Permit]struct{}
 	failures int
 	// ejectedUntil is when the server may be tried again; probing is set while one request does so.
@@ -133,7 +136,7 @@
 	p := &Permit{ranking: r, server: s, route: route, started: now}
 	p.expected = time.Duration(float64(r.typical(route)) * s.slownessAt(now))
 	s.open[p] = struct{}{}
-	if s.failures >= ejectionFailures {
+	if s.ejectable(now) {
 		s.probing = p
 	}
 	return p
@@ -209,7 +212,7 @@
 		r.sketch(p.route).Add(latency)
 		r.learn(p, latency, now)
 		s.failing += learning * (0 - s.failing)
-		s.failures, s.ejectedUntil = 0, time.Time{}
+		s.failures, s.ejectedUntil, s.answered = 0, time.Time{}, now
 	case Shed:
 		s.failing += learning * (1 - s.failing)
 		s.failures, s.ejectedUntil = 0, time.Time{}
@@ -288,15 +291,19 @@
 }
 
 func (s *server) leftOut(now time.Time) bool {
-	if s.failures < ejectionFailures {
+	if !s.ejectable(now) {
 		return false
 	}
 	return s.probing != nil || now.Before(s.ejectedUntil)
 }
 
+func (s *server) ejectable(now time.Time) bool {
+	return s.failures >= ejectionFailures && now.Sub(s.answered) > ejectionSilence
+}
+
 func (s *server) fail(now time.Time) {
 	s.failures++
-	if s.failures < ejectionFailures {
+	if !s.ejectable(now) {
 		return
 	}
 	doublings := min(s.failures-ejectionFailures, 8)
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -295,6 +295,7 @@
 			return
 		case <-ticker.C:
 			f.actor.Post(pollenview.Tick{})
+			f.pool.Trim()
 		}
 	}
 }
