--- a/pollen/pollenbudget/budget.go
+++ b/pollen/pollenbudget/budget.go
@@ -47,6 +47,13 @@
 	b.config = config
 }
 
+// Ratio returns the share of a service's requests that may be sent once more.
+func (b *Budget) Ratio() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config.Ratio
+}
+
 // Count counts the first request for a service.
 func (b *Budget) Count(service string, now time.Time) {
 	b.mu.Lock()
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -32,8 +32,8 @@
 // New returns a Forwarder.
 func New(config Config) *Forwarder { return &Forwarder{config: config} }
 
-// hedgeQuantile is the share of answers that arrive before a hedge is sent.
-const hedgeQuantile = 0.95
+// hedgeShare is the part of the retry ratio that hedges may use up; the rest is left for retries.
+const hedgeShare = 0.5
 
 // connectionReserve is the share of a server's connections that is left to instances that join.
 const connectionReserve = 0.05
@@ -53,7 +53,7 @@
 		account:   &Account{Route: route.Name, Services: len(services)},
 		schedule: NewSchedule(ScheduleConfig{
 			Route: route, Received: request.Received, Patience: request.Patience,
-			CallerTrip: f.config.CallerTrip, Typical: f.config.Ranking.Typical(route.Name, hedgeQuantile),
+			CallerTrip: f.config.CallerTrip, Typical: f.config.Ranking.Typical(route.Name, 1-hedgeShare*f.config.Budget.Ratio()),
 		}),
 		legs:    make([]leg, len(services)),
 		results: make(chan result, len(services)*(route.Attempts+spareSends)),
