Retry-After by cause, half of the connections after a start, collect garbage earlier

After a restart of all, 1,050 connections were reset over the servers' limits. Change: what lacks servers or configuration asks callers back as late as they can still be served, what lacks room spreads their return; an instance takes half of its connections in its first five seconds; garbage is collected at 30%.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -59,8 +60,12 @@
 // spareSends is the number of requests that a leg may send beyond its attempts, to replace those that did not run.
 const spareSends = 2
 
-// returnSpread is the shortest time after which a refused caller is asked to come back.
-const returnSpread = 50 * time.Millisecond
+// returnShare bounds when a refused caller is asked to come back, as shares of the time that it has left. Callers wait
+// up to a third of it, so the upper bound lets one more try fall as late as it is of use.
+const (
+	soonestReturn = 0.15
+	latestReturn  = 0.3
+)
 
 func (c *call) run(ctx context.Context) (*Reply, error) {
 	sending, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -98,7 +103,7 @@
 // Load pattern: all servers of several shards are down. Asking the others would use their slots for nothing.
 func (c *call) admit(now time.Time) error {
 	if !now.Before(c.schedule.End) {
-		return &RefusedError{Cause: "no time left on arrival", RetryAfter: returnSpread}
+		return &RefusedError{Cause: "no time left on arrival"}
 	}
 	table := c.forwarder.config.Table()
 	available := 0
@@ -112,7 +117,7 @@
 	}
 	return &RefusedError{
 		Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.legs), c.needed()),
-		RetryAfter: c.returnAfter(now),
+		RetryAfter: ReturnWhenBack(c.schedule.End.Sub(now)),
 	}
 }
 
@@ -128,8 +133,16 @@
 	return max(needed, 1)
 }
 
-func (c *call) returnAfter(now time.Time) time.Duration {
-	return max(returnSpread, c.schedule.End.Sub(now)/8)
+// ReturnWhenBack returns when to come back to a tier that lacks servers or configuration, of which nobody knows how
+// long it takes: as late as the caller can still be served.
+func ReturnWhenBack(timeLeft time.Duration) time.Duration { return share(timeLeft, latestReturn) }
+
+// ReturnWhenFree returns when to come back after servers had no room.
+//
+// Load pattern: more is asked than the servers' slots carry. Callers who return together would be refused together, so
+// their returns are spread.
+func ReturnWhenFree(timeLeft time.Duration, random float64) time.Duration {
+	return share(timeLeft, soonestReturn+(latestReturn-soonestReturn)*random)
 }
 
 // send asks one more server of a leg and reports whether there was one.
@@ -148,7 +161,7 @@
 	c.account.LastServer = server.ID
 	order := Order{
 		Request: c.request, Server: server, TimeLeft: c.schedule.Limit.Sub(now),
-		Connections: c.forwarder.connections(table, l.service), Needed: l.needed,
+		Connections: c.forwarder.connections(table, l.service, now), Needed: l.needed,
 	}
 	go c.exchange(i, len(l.tried)-1, permit, order)
 	return true
@@ -179,7 +192,7 @@
 
 // best returns the best of the servers that have a free connection, else the best of the others.
 func (c *call) best(table *pollencatalog.Table, l *leg, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
-	connections := c.forwarder.connections(table, l.service)
+	connections := c.forwarder.connections(table, l.service, now)
 	free := make([]*pollencatalog.Server, 0, len(servers))
 	for _, server := range servers {
 		if c.forwarder.config.Exchanger.Free(server, connections) {
@@ -359,7 +372,7 @@
 	case !c.route.Sharded() && c.failure != nil && c.relayable(c.failure):
 		return &Reply{Answer: *c.failure}, nil
 	case !c.ran && c.nothingOpen():
-		return nil, &RefusedError{Cause: "no server took the request", RetryAfter: c.returnAfter(now)}
+		return nil, &RefusedError{Cause: "no server took the request", RetryAfter: ReturnWhenFree(c.schedule.End.Sub(now), rand.Float64())}
 	case !now.Before(c.schedule.End):
 		return nil, &FailedError{Cause: "no answer in time", TimedOut: true}
 	}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -22,15 +22,18 @@
 	Linger time.Duration
 	// Splitter chooses a service for each request of a route that is shared between services.
 	Splitter *Splitter
+	// Settle is the time after the start during which servers may count connections of a former incarnation.
+	Settle time.Duration
 }
 
 // Forwarder serves requests through backend servers.
 type Forwarder struct {
-	config Config
+	config  Config
+	started time.Time
 }
 
 // New returns a Forwarder.
-func New(config Config) *Forwarder { return &Forwarder{config: config} }
+func New(config Config) *Forwarder { return &Forwarder{config: config, started: time.Now()} }
 
 // hedgeShare is the part of the retry ratio that hedges may use up; the rest is left for retries.
 const hedgeShare = 0.5
@@ -66,13 +69,19 @@
 }
 
 // connections returns the number of connections to one server of a service that this instance may hold.
-func (f *Forwarder) connections(table *pollencatalog.Table, service string) int {
+//
+// Load pattern: all instances restart at once, and the servers still count the connections of their former
+// incarnations. Until those are given up, each instance takes half of its share.
+func (f *Forwarder) connections(table *pollencatalog.Table, service string, now time.Time) int {
 	configuration := table.Configuration()
 	if configuration == nil {
 		return 1
 	}
-	all := float64(configuration.Services[service].Connections) * (1 - connectionReserve)
-	return max(1, int(all)/table.Sharers())
+	part := 1 - connectionReserve
+	if now.Sub(f.started) < f.config.Settle {
+		part /= 2
+	}
+	return max(1, int(float64(configuration.Services[service].Connections)*part)/table.Sharers())
 }
 
 // Account says what was done for one request, for its log line.
--- a/pollen/pollenforward/forward_test.go
+++ b/pollen/pollenforward/forward_test.go
@@ -37,8 +37,8 @@
 	sent      []string
 	cancelled int
 	// lose makes single answers fail.
-	lose func() bool
-	timeLeft  []time.Duration
+	lose     func() bool
+	timeLeft []time.Duration
 }
 
 func (f *fleet) Free(*pollencatalog.Server, int) bool { return true }
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,9 @@
 	serverIdle = 5 * time.Second
 	// linger is how long requests that lost against a hedge are left to end.
 	linger = 300 * time.Millisecond
+	// settleTime is how long servers may take to give up the connections of an instance that lost power; it was
+	// seen to take about four seconds.
+	settleTime = 5 * time.Second
 	// answerBytes bounds a server's answer in memory.
 	answerBytes = 8 << 20
 	// returnTime is how long after an outage of the store entries that lapsed may still be missing: two seconds
@@ -95,6 +99,7 @@
 		listed:  make(chan struct{}),
 	}
 	f.settings.Store(settings)
+	debug.SetGCPercent(settings.CollectionPercent)
 	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
 		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAlive,
 		WatchSlack: share(settings.ConfigurationDelay, watchSlackShare),
@@ -132,6 +137,7 @@
 		Table:      f.view.Table,
 		CallerTrip: f.settings.Load().CallerTrip.Std(),
 		Linger:     linger,
+		Settle:     settleTime,
 		Splitter:   &pollenforward.Splitter{},
 	})
 	return pollenplatform.NewIngress(pollenplatform.IngressConfig{
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -41,8 +41,8 @@
 	InstanceLease pollensettings.Duration
 	// LinesPerSecond bounds the log.
 	LinesPerSecond int
-	// MemoryBytes is the memory at which the garbage collector works harder; zero for no such limit.
-	MemoryBytes int64
+	// CollectionPercent is the growth of the heap, in percent, after which garbage is collected.
+	CollectionPercent int
 }
 
 // DefaultSettings returns settings for what a file may leave out.
@@ -57,6 +57,7 @@
 		ConfigurationDelay: pollensettings.Duration(3 * time.Second),
 		InstanceLease:      pollensettings.Duration(3 * time.Second),
 		LinesPerSecond:     400,
+		CollectionPercent:  30,
 	}
 }
 
@@ -108,6 +109,9 @@
 	if s.RetrySlack < 0 {
 		return &pollensettings.FieldError{Field: "RetrySlack", Problem: "below zero"}
 	}
+	if s.CollectionPercent <= 0 {
+		return &pollensettings.FieldError{Field: "CollectionPercent", Problem: "not above zero"}
+	}
 	if s.LinesPerSecond <= 0 {
 		return &pollensettings.FieldError{Field: "LinesPerSecond", Problem: "not above zero"}
 	}
