Name a few instances to callers and let one watcher a zone relay the store

Change: the large instances of each zone register and are named, the others stand by and take over (pollenroster); the first of a zone follows the store, the others follow it by net/rpc and turn to the store when it is silent or has not heard the store (pollenrelay); a start reads the cheap stale list and brings it up to date.

--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -103,6 +103,10 @@
 	Name          string
 	Zone          string
 	CallerAddress netip.AddrPort
+	// PeerAddress takes calls of other instances.
+	PeerAddress netip.AddrPort
+	// Processor is the share of a processor core that the instance may use.
+	Processor float64
 	// Incarnation differs between two starts of the same instance.
 	Incarnation string
 	// Ready is set while the instance takes new callers.
--- a/pollen/pollenfollow/follow.go
+++ b/pollen/pollenfollow/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -14,6 +16,8 @@
 
 // Reader reads the store.
 type Reader interface {
+	// ListStale may return keys as they were some seconds ago, at less cost than List.
+	ListStale(ctx context.Context, prefix string) (pollenstore.Listing, error)
 	List(ctx context.Context, prefix string) (pollenstore.Listing, error)
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (pollenstore.Changes, error)
 }
@@ -49,17 +53,58 @@
 
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
+	list := f.first
 	for ctx.Err() == nil {
-		listing, err := retry(ctx, f.failed, func() (pollenstore.Listing, error) { return f.config.Reader.List(ctx, "") })
+		listing, err := retry(ctx, f.failed, func() (pollenstore.Listing, error) { return list(ctx) })
 		if err != nil {
 			return
 		}
 		f.answered()
 		f.config.Post(pollenview.Listed{Listing: listing})
 		f.watch(ctx, listing.Revision)
+		list = func(ctx context.Context) (pollenstore.Listing, error) { return f.config.Reader.List(ctx, "") }
 	}
 }
 
+// first reads all keys from a cheap copy and brings it up to date by the events since then.
+//
+// Load pattern: all instances start at once and would all read everything.
+func (f *Follower) first(ctx context.Context) (pollenstore.Listing, error) {
+	var compacted *pollenstore.CompactedError
+	listing, err := f.config.Reader.ListStale(ctx, "")
+	if err != nil {
+		return listing, err
+	}
+	changes, err := f.config.Reader.Watch(ctx, "", listing.Revision, shortestWait)
+	if errors.As(err, &compacted) {
+		return f.config.Reader.List(ctx, "")
+	}
+	if err != nil {
+		return listing, err
+	}
+	return bringUpToDate(listing, changes), nil
+}
+
+func bringUpToDate(listing pollenstore.Listing, changes pollenstore.Changes) pollenstore.Listing {
+	entries := make(map[string]pollenstore.Entry, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		entries[entry.Key] = entry
+	}
+	for _, event := range changes.Events {
+		if event.Deleted {
+			delete(entries, event.Entry.Key)
+		} else {
+			entries[event.Entry.Key] = event.Entry
+		}
+	}
+	return pollenstore.Listing{
+		Entries: slices.Collect(maps.Values(entries)), Revision: max(listing.Revision, changes.Revision),
+	}
+}
+
+// shortestWait is the wait of a watch that only asks whether anything has changed.
+const shortestWait = time.Millisecond
+
 // Restart makes the follower ask anew instead of waiting on a connection that may be dead.
 func (f *Follower) Restart() {
 	select {
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -24,6 +24,8 @@
 	"pollenline.example/pollen/pollenforward"
 	"pollenline.example/pollen/pollenpool"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenrelay"
+	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollenview"
 )
@@ -42,6 +44,9 @@
 	metrics   *metrics
 	leaving   atomic.Bool
 	stale     atomic.Bool
+	relay     *pollenrelay.Server
+	changed   chan struct{}
+	enlisted  atomic.Bool
 	listed    chan struct{}
 	servers   []*http.Server
 	// named is set while the table names this instance; the view's actor keeps it.
@@ -76,8 +81,27 @@
 const (
 	watchWaitShare  = 0.45
 	watchSlackShare = 0.2
+	// freshShare is the age of the store's last answer up to which a replica is passed on: a wait, a slack, a pause.
+	freshShare = 0.8
+	// An instance that follows a watcher asks more often, so that its own delay adds little to the watcher's.
+	peerWaitShare  = 0.15
+	peerSlackShare = 0.1
 )
 
+func dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+// watcher returns the instance that follows the store for this one.
+func (f *Front) watcher() (netip.AddrPort, bool) {
+	watcher, ok := pollenroster.Watcher(f.view.Table().Instances(), f.self.Zone)
+	if !ok || watcher.Name == f.self.Name || !watcher.PeerAddress.IsValid() {
+		return netip.AddrPort{}, false
+	}
+	return watcher.PeerAddress, true
+}
+
 func share(d pollensettings.Duration, part float64) time.Duration {
 	return time.Duration(float64(d) * part)
 }
@@ -91,12 +115,15 @@
 		budget: pollenbudget.New(settings.budget()),
 		self: pollencatalog.Instance{
 			Name: settings.Name, Zone: settings.Zone, CallerAddress: settings.CallerAddress, Ready: true,
+			PeerAddress: settings.PeerAddress, Processor: settings.ProcessorShare,
 			Incarnation: fmt.Sprintf("%016x", rand.Uint64()),
 		},
 		pool:    pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: serverIdle, KeepAlive: keepAlive}),
 		ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 		metrics: newMetrics(),
 		listed:  make(chan struct{}),
+		changed: make(chan struct{}, 1),
+		relay:   pollenrelay.NewServer(pollenrelay.ServerConfig{Freshness: share(settings.ConfigurationDelay, freshShare)}),
 	}
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
@@ -109,7 +136,11 @@
 	})
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
-		Reader: store, Post: f.post, Wait: share(settings.ConfigurationDelay, watchWaitShare), Pause: settings.StorePause.Std(),
+		Reader: pollenrelay.NewSource(pollenrelay.SourceConfig{
+			Store: store, Server: f.relay, Watcher: f.watcher, Dial: dialPeer,
+			Wait: share(settings.ConfigurationDelay, peerWaitShare), Timeout: share(settings.ConfigurationDelay, peerSlackShare),
+		}),
+		Post: f.post, Wait: share(settings.ConfigurationDelay, watchWaitShare), Pause: settings.StorePause.Std(),
 	})
 	key, value, err := pollenplatform.EncodeInstance(f.self)
 	if err != nil {
@@ -148,7 +179,7 @@
 // Run serves until ctx is done and the shutdown that follows has ended.
 func (f *Front) Run(ctx context.Context) error {
 	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
-	failed := make(chan error, len(f.servers))
+	failed := make(chan error, len(f.servers)+1)
 	for _, server := range f.servers {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil {
@@ -160,15 +191,17 @@
 	defer cancel()
 	registration, unregister := context.WithCancel(background)
 	unregistered := make(chan struct{})
+	peers, err := net.Listen("tcp", f.self.PeerAddress.String())
+	if err != nil {
+		unregister()
+		return &ListenError{Address: f.self.PeerAddress.String(), Err: err}
+	}
+	go func() { failed <- f.relay.Serve(peers) }()
 	go f.follower.Run(background)
 	go f.tick(background)
 	go func() {
 		defer close(unregistered)
-		select {
-		case <-f.listed:
-			f.registrar.Run(registration)
-		case <-registration.Done():
-		}
+		f.enlist(registration)
 	}()
 	select {
 	case err := <-failed:
@@ -185,6 +218,56 @@
 	return nil
 }
 
+// enlist keeps the instance registered while it is one of those that are named to callers, until ctx is done.
+func (f *Front) enlist(ctx context.Context) {
+	select {
+	case <-f.listed:
+	case <-ctx.Done():
+		return
+	}
+	timer := time.NewTimer(pollenroster.Delay(f.self))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	for ctx.Err() == nil {
+		if pollenroster.Serves(f.self, f.view.Table()) {
+			f.serveCallers(ctx)
+			continue
+		}
+		select {
+		case <-f.changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// serveCallers keeps the instance registered until others are to be named in its place or ctx is done.
+func (f *Front) serveCallers(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	f.enlisted.Store(true)
+	go func() {
+		defer close(done)
+		f.registrar.Run(ctx)
+	}()
+	for pollenroster.Serves(f.self, f.view.Table()) {
+		select {
+		case <-f.changed:
+		case <-ctx.Done():
+			<-done
+			return
+		}
+	}
+	klog.InfoS("Standing by, others are named to callers", "zone", f.self.Zone)
+	f.enlisted.Store(false)
+	cancel()
+	<-done
+}
+
 // Reload applies the settings that can change while the instance serves, and logs those that need a restart.
 func (f *Front) Reload(settings *Settings) {
 	before := f.settings.Swap(settings)
@@ -243,12 +326,22 @@
 	case pollenview.Listed, pollenview.Changed, pollenview.StoreRegained:
 		f.stale.Store(false)
 	}
+	switch m := message.(type) {
+	case pollenview.Listed:
+		f.relay.Reset(m.Listing)
+	case pollenview.Changed:
+		f.relay.Apply(m.Changes)
+	}
 	f.actor.Post(message)
 }
 
 // published reacts to a new table; the view's actor calls it.
 func (f *Front) published(table *pollencatalog.Table) {
 	f.ranking.Forget(table)
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
 	if table.Configuration() == nil {
 		return
 	}
@@ -266,7 +359,7 @@
 // checkRegistration writes the instance's key again if the store has dropped it while the lease lives.
 func (f *Front) checkRegistration(table *pollencatalog.Table) {
 	named := slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
-	if f.named && !named {
+	if f.named && !named && f.enlisted.Load() {
 		f.registrar.Rewrite()
 	}
 	f.named = named
@@ -276,17 +369,15 @@
 	return !f.leaving.Load() && f.view.Table().Configuration() != nil
 }
 
+// instances returns the instances to name to callers: the registered ones, or this one if there are none.
 func (f *Front) instances() []pollencatalog.Instance {
 	var ready []pollencatalog.Instance
-	named := false
 	for _, instance := range f.view.Table().Instances() {
-		own := instance.Name == f.self.Name
-		if instance.Ready && (!own || f.ready()) {
+		if instance.Ready && (instance.Name != f.self.Name || f.ready()) {
 			ready = append(ready, instance)
-			named = named || own
 		}
 	}
-	if !named && f.ready() {
+	if len(ready) == 0 && f.ready() {
 		ready = append(ready, f.self)
 	}
 	return ready
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -20,6 +20,10 @@
 	// MetricsAddress serves counters and histograms.
 	MetricsAddress netip.AddrPort
 	StoreAddress   netip.AddrPort
+	// PeerAddress takes calls of other instances.
+	PeerAddress netip.AddrPort
+	// ProcessorShare is the share of a processor core that the instance may use.
+	ProcessorShare float64
 
 	// RetryRatio, RetrySlack and RetryWindow limit extra requests to a service over all instances.
 	RetryRatio  float64
@@ -85,7 +89,7 @@
 		value netip.AddrPort
 	}{
 		{"CallerAddress", s.CallerAddress}, {"DirectoryAddress", s.DirectoryAddress},
-		{"ReadinessAddress", s.ReadinessAddress}, {"MetricsAddress", s.MetricsAddress}, {"StoreAddress", s.StoreAddress},
+		{"ReadinessAddress", s.ReadinessAddress}, {"MetricsAddress", s.MetricsAddress}, {"StoreAddress", s.StoreAddress}, {"PeerAddress", s.PeerAddress},
 	} {
 		if err := pollensettings.RequireAddress(address.field, address.value); err != nil {
 			return err
@@ -103,6 +107,9 @@
 			return err
 		}
 	}
+	if s.ProcessorShare < 0 {
+		return &pollensettings.FieldError{Field: "ProcessorShare", Problem: "below zero"}
+	}
 	if s.RetryRatio < 0 {
 		return &pollensettings.FieldError{Field: "RetryRatio", Problem: "below zero"}
 	}
