--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -150,7 +150,7 @@
 	l := &c.legs[i]
 	table := c.forwarder.config.Table()
 	server, ok := c.choose(table, l, now)
-	if !ok {
+	if !ok || !c.forwarder.config.Ramp.Take(server, table, now) {
 		return false
 	}
 	permit := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
@@ -192,6 +192,7 @@
 
 // best returns the best of the servers that have a free connection, else the best of the others.
 func (c *call) best(table *pollencatalog.Table, l *leg, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
+	servers = slices.DeleteFunc(servers, func(s *pollencatalog.Server) bool { return !c.forwarder.config.Ramp.May(s, table, now) })
 	connections := c.forwarder.connections(table, l.service, now)
 	free := make([]*pollencatalog.Server, 0, len(servers))
 	for _, server := range servers {
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -6,6 +6,7 @@
 
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 )
 
@@ -14,6 +15,7 @@
 	Exchanger Exchanger
 	Ranking   *pollenrank.Ranking
 	Budget    *pollenbudget.Budget
+	Ramp      *pollenramp.Ramp
 	// Table returns the table in force.
 	Table func() *pollencatalog.Table
 	// CallerTrip is the time that a request and its answer spend on the way between caller and instance.
--- a/pollen/pollenforward/forward_test.go
+++ b/pollen/pollenforward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 )
 
@@ -108,7 +109,7 @@
 		ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(1, 2))}),
 	}
 	h.forwarder = New(Config{
-		Exchanger: h.fleet, Ranking: h.ranking, CallerTrip: 10 * time.Millisecond, Linger: 300 * time.Millisecond,
+		Exchanger: h.fleet, Ranking: h.ranking, Ramp: pollenramp.New(pollenramp.Config{Self: "entry-1"}), CallerTrip: 10 * time.Millisecond, Linger: 300 * time.Millisecond,
 		Budget:   pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}),
 		Table:    func() *pollencatalog.Table { return h.table },
 		Splitter: &Splitter{},
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -43,6 +43,7 @@
 	config  SourceConfig
 	address netip.AddrPort
 	client  *rpc.Client
+	conn    net.Conn
 	// direct is set while the store is read because the watcher is of no use.
 	direct bool
 }
@@ -137,7 +138,14 @@
 			s.address = address
 			return nil, err
 		}
-		s.client, s.address = rpc.NewClient(conn), address
+		s.client, s.conn, s.address = rpc.NewClient(conn), conn, address
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		// The client writes requests without a timeout of its own.
+		if err := s.conn.SetWriteDeadline(deadline); err != nil {
+			s.close()
+			return nil, err
+		}
 	}
 	reply := &Reply{}
 	call := s.client.Go(method, request, reply, make(chan *rpc.Call, 1))
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -23,6 +23,7 @@
 	"pollenline.example/pollen/pollenfollow"
 	"pollenline.example/pollen/pollenforward"
 	"pollenline.example/pollen/pollenpool"
+	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenrelay"
 	"pollenline.example/pollen/pollenroster"
@@ -39,6 +40,7 @@
 	actor     *pollenactor.Actor
 	pool      *pollenpool.Pool
 	ranking   *pollenrank.Ranking
+	ramp      *pollenramp.Ramp
 	registrar *pollenfollow.Registrar
 	follower  *pollenfollow.Follower
 	metrics   *metrics
@@ -120,6 +122,7 @@
 		},
 		pool:    pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: serverIdle, KeepAlive: keepAlive}),
 		ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
+		ramp:    pollenramp.New(pollenramp.Config{Self: settings.Name}),
 		metrics: newMetrics(),
 		listed:  make(chan struct{}),
 		changed: make(chan struct{}, 1),
@@ -164,6 +167,7 @@
 	forwarder := pollenforward.New(pollenforward.Config{
 		Exchanger:  pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, AnswerBytes: answerBytes}),
 		Ranking:    f.ranking,
+		Ramp:       f.ramp,
 		Budget:     f.budget,
 		Table:      f.view.Table,
 		CallerTrip: f.settings.Load().CallerTrip.Std(),
@@ -212,7 +216,9 @@
 	f.leaving.Store(true)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	unregister()
-	f.shutDown()
+	if err := drain(f.servers[0], f.settings.Load().StopTimeout.Std()); err != nil {
+		klog.ErrorS(err, "Requests are cut off by the end of the process")
+	}
 	<-unregistered
 	klog.InfoS("Stopped")
 	return nil
@@ -293,16 +299,15 @@
 	endShare = 0.93
 )
 
-// shutDown serves callers that have not heard yet, then waits for open requests.
-func (f *Front) shutDown() {
-	stop := f.settings.Load().StopTimeout.Std()
+// drain serves callers that have not heard yet, then waits for open requests and closes the server.
+//
+// It ends within endShare of the stop timeout, and early when no request is open after serveShare of it.
+func drain(server *http.Server, stop time.Duration) error {
 	begun := time.Now()
 	time.Sleep(time.Duration(float64(stop) * serveShare))
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(float64(stop)*endShare)))
 	defer cancel()
-	if err := f.servers[0].Shutdown(ctx); err != nil {
-		klog.ErrorS(err, "Requests are cut off by the end of the process")
-	}
+	return server.Shutdown(ctx)
 }
 
 func (f *Front) server(address netip.AddrPort, handler http.Handler) *http.Server {
@@ -338,6 +343,7 @@
 // published reacts to a new table; the view's actor calls it.
 func (f *Front) published(table *pollencatalog.Table) {
 	f.ranking.Forget(table)
+	f.ramp.Forget(table)
 	select {
 	case f.changed <- struct{}{}:
 	default:
