Let standbys take over in the order of their rank

Change: the watcher tells each follower its rank among the standbys, and a standby leaves those before it the time to register; departed instances count as sharers up to the number of those that are there.

--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -58,7 +58,11 @@
 func (t *Table) Instances() []Instance { return t.instances }
 
 // Sharers returns the number of instances that limits are shared among, at least one.
-func (t *Table) Sharers() int { return max(1, len(t.instances)+t.departed) }
+//
+// Those that left lately count, up to the number of those that are there: more cannot have held a share at a time.
+func (t *Table) Sharers() int {
+	return max(1, len(t.instances)+min(t.departed, len(t.instances)))
+}
 
 // Route returns the route with the longest prefix of the path among the host's routes.
 func (t *Table) Route(host, path string) (*Route, bool) {
--- a/pollen/pollenrelay/relay_test.go
+++ b/pollen/pollenrelay/relay_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenstore"
 )
 
@@ -76,7 +77,7 @@
 	served := make(chan error, 1)
 	go func() { served <- z.watcher.Serve(listener) }()
 	z.source = NewSource(SourceConfig{
-		Store: z.store, Server: NewServer(ServerConfig{}), Wait: 450 * time.Millisecond, Timeout: 300 * time.Millisecond,
+		Store: z.store, Standby: func() bool { return true }, Server: NewServer(ServerConfig{}), Wait: 450 * time.Millisecond, Timeout: 300 * time.Millisecond,
 		Watcher: func() (netip.AddrPort, bool) { return netip.MustParseAddrPort("10.0.0.1:7380"), z.followed },
 		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
 			if z.dead {
@@ -162,6 +163,24 @@
 	})
 }
 
+// Followers learn their rank, and forget one that is gone.
+func TestRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := NewServer(ServerConfig{})
+		large := pollencatalog.Instance{Name: "large", Processor: 0.8}
+		small := pollencatalog.Instance{Name: "small", Processor: 0.2}
+		c.Assert(s.rank(small, true), qt.Equals, 0)
+		c.Assert(s.rank(large, true), qt.Equals, 0)
+		c.Assert(s.rank(small, true), qt.Equals, 1)
+		s.rank(large, false)
+		c.Assert(s.rank(small, true), qt.Equals, 0)
+		s.rank(large, true)
+		time.Sleep(followerMemory + time.Millisecond)
+		c.Assert(s.rank(small, true), qt.Equals, 0)
+	})
+}
+
 // A follower whose revision the watcher's history does not reach reads all keys again.
 func TestHistoryOfWatcherIsShorter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -10,7 +10,9 @@
 
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenreplica"
+	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollenstore"
 )
 
@@ -19,8 +21,12 @@
 
 // WatchRequest waits for events after a revision.
 type WatchRequest struct {
-	After uint64
-	Wait  time.Duration
+	// Follower is the instance that asks.
+	Follower pollencatalog.Instance
+	// Standby is set if the follower is not named to callers.
+	Standby bool
+	After   uint64
+	Wait    time.Duration
 }
 
 // Reply holds a listing or changes.
@@ -31,6 +37,8 @@
 	Compacted bool
 	// Stale is set if the instance has not heard the store lately.
 	Stale bool
+	// Rank is the follower's place among those that stand by, zero for the first.
+	Rank int
 }
 
 // ServerConfig configures a Server.
@@ -44,13 +52,20 @@
 	config  ServerConfig
 	replica *pollenreplica.Replica
 
-	mu    sync.Mutex
-	heard time.Time
+	mu        sync.Mutex
+	heard     time.Time
+	followers map[string]follower
+}
+
+type follower struct {
+	instance pollencatalog.Instance
+	standby  bool
+	seen     time.Time
 }
 
 // NewServer returns a Server that has not heard the store.
 func NewServer(config ServerConfig) *Server {
-	return &Server{config: config, replica: pollenreplica.New()}
+	return &Server{config: config, replica: pollenreplica.New(), followers: make(map[string]follower)}
 }
 
 // Heard notes that the store itself has answered; a zero time withdraws what was noted.
@@ -100,6 +115,27 @@
 	return s.heard.IsZero() || time.Since(s.heard) > s.config.Freshness
 }
 
+// followerMemory is how long a follower that asks no more keeps its rank; followers ask about twice a second.
+const followerMemory = 3 * time.Second
+
+// rank notes that a follower lives and returns its place among those that stand by.
+func (s *Server) rank(instance pollencatalog.Instance, standby bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.followers[instance.Name] = follower{instance: instance, standby: standby, seen: now}
+	rank := 0
+	for name, f := range s.followers {
+		switch {
+		case now.Sub(f.seen) > followerMemory:
+			delete(s.followers, name)
+		case f.standby && pollenroster.Compare(f.instance, instance) < 0:
+			rank++
+		}
+	}
+	return rank
+}
+
 // service holds the methods that are called by net/rpc.
 type service struct {
 	server *Server
@@ -115,6 +151,7 @@
 
 // Watch waits for events.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
+	reply.Rank = s.server.rank(request.Follower, request.Standby)
 	if reply.Stale = s.server.stale(); reply.Stale {
 		return nil
 	}
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenstore"
 )
 
@@ -24,6 +26,10 @@
 // SourceConfig configures a Source.
 type SourceConfig struct {
 	Store Store
+	// Self is this instance, as its watcher ranks it.
+	Self pollencatalog.Instance
+	// Standby reports whether this instance is not named to callers.
+	Standby func() bool
 	// Server is told when the store itself has answered.
 	Server *Server
 	// Watcher returns the address of the instance to follow; false makes the source read the store itself.
@@ -46,11 +52,15 @@
 	conn    net.Conn
 	// direct is set while the store is read because the watcher is of no use.
 	direct bool
+	rank   atomic.Int64
 }
 
 // NewSource returns a Source without a connection.
 func NewSource(config SourceConfig) *Source { return &Source{config: config} }
 
+// Rank returns this instance's place among those that follow the same watcher, as it was last told.
+func (s *Source) Rank() int { return int(s.rank.Load()) }
+
 // StaleError reports a watcher that has not heard the store lately.
 type StaleError struct {
 	Address netip.AddrPort
@@ -78,7 +88,12 @@
 
 // Watch waits for events after a revision.
 func (s *Source) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (pollenstore.Changes, error) {
-	reply, ok := s.ask(ctx, methodWatch, WatchRequest{After: after, Wait: min(wait, s.config.Wait)})
+	reply, ok := s.ask(ctx, methodWatch, WatchRequest{
+		Follower: s.config.Self, Standby: s.config.Standby(), After: after, Wait: min(wait, s.config.Wait),
+	})
+	if ok {
+		s.rank.Store(int64(reply.Rank))
+	}
 	switch {
 	case ok && reply.Compacted:
 		return pollenstore.Changes{}, &pollenstore.CompactedError{Oldest: after + 1}
--- a/pollen/pollenroster/roster.go
+++ b/pollen/pollenroster/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +30,7 @@
 	for _, i := range table.Instances() {
 		zones[i.Zone] = true
 		largest = max(largest, i.Processor)
-		if i.Zone == self.Zone && i.Name != self.Name && compare(i, self) < 0 {
+		if i.Zone == self.Zone && i.Name != self.Name && Compare(i, self) < 0 {
 			better++
 		}
 	}
@@ -41,11 +40,17 @@
 	return better < perZone(table.Configuration(), len(zones))
 }
 
-// Delay returns how long an instance waits before it registers, so that larger ones come first.
-func Delay(self pollencatalog.Instance) time.Duration {
-	return time.Duration(float64(registrationDelay) / max(self.Processor, smallestProcessor))
+// Delay returns how long an instance that should be named waits before it registers.
+//
+// Load pattern: a named instance is lost where 30 others stand by. Each has a rank among them, and leaves those before
+// it the time to register and to be seen. At the start nobody has a rank, and larger instances come first.
+func Delay(self pollencatalog.Instance, rank int) time.Duration {
+	return time.Duration(float64(registrationDelay)/max(self.Processor, smallestProcessor)) + time.Duration(rank)*rankDelay
 }
 
+// rankDelay is the time in which a registration is written and seen by all: a call, a pause and a relayed watch.
+const rankDelay = 700 * time.Millisecond
+
 // smallestProcessor bounds the delay of instances that state no share of a processor.
 const smallestProcessor = 0.1
 
@@ -54,7 +59,7 @@
 	var best pollencatalog.Instance
 	found := false
 	for _, i := range instances {
-		if i.Zone == zone && (!found || compare(i, best) < 0) {
+		if i.Zone == zone && (!found || Compare(i, best) < 0) {
 			best, found = i, true
 		}
 	}
@@ -75,14 +80,11 @@
 	return max(leastPerZone, fewest/wantedConnections/zones)
 }
 
-// compare orders instances by processor share, largest first, and then in an order that differs between fleets.
-func compare(a, b pollencatalog.Instance) int {
+// Compare orders instances by processor share, largest first, and then in an order that differs between fleets.
+func Compare(a, b pollencatalog.Instance) int {
 	return cmp.Or(
 		cmp.Compare(b.Processor, a.Processor),
 		cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
-
-// Sort orders instances from the first to be named to the last.
-func Sort(instances []pollencatalog.Instance) { slices.SortFunc(instances, compare) }
--- a/pollen/pollenroster/roster_test.go
+++ b/pollen/pollenroster/roster_test.go
@@ -103,6 +103,7 @@
 
 func TestLargeInstancesRegisterFirst(t *testing.T) {
 	large, small, silent := pollencatalog.Instance{Processor: 0.8}, pollencatalog.Instance{Processor: 0.2}, pollencatalog.Instance{}
-	qt.Assert(t, Delay(large) < Delay(small), qt.IsTrue)
-	qt.Assert(t, Delay(small) < Delay(silent), qt.IsTrue)
+	qt.Assert(t, Delay(large, 0) < Delay(small, 0), qt.IsTrue)
+	qt.Assert(t, Delay(large, 1) > Delay(small, 0), qt.IsTrue)
+	qt.Assert(t, Delay(small, 0) < Delay(silent, 0), qt.IsTrue)
 }
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -47,6 +47,7 @@
 	leaving   atomic.Bool
 	stale     atomic.Bool
 	relay     *pollenrelay.Server
+	source    *pollenrelay.Source
 	changed   chan struct{}
 	enlisted  atomic.Bool
 	listed    chan struct{}
@@ -138,12 +139,12 @@
 		Decoder: pollenplatform.Decoder{}, Return: returnTime, Memory: departedMemory, Published: f.published,
 	})
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
+	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
+		Store: store, Self: f.self, Standby: func() bool { return !f.enlisted.Load() }, Server: f.relay, Watcher: f.watcher, Dial: dialPeer,
+		Wait: share(settings.ConfigurationDelay, peerWaitShare), Timeout: share(settings.ConfigurationDelay, peerSlackShare),
+	})
 	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
-		Reader: pollenrelay.NewSource(pollenrelay.SourceConfig{
-			Store: store, Server: f.relay, Watcher: f.watcher, Dial: dialPeer,
-			Wait: share(settings.ConfigurationDelay, peerWaitShare), Timeout: share(settings.ConfigurationDelay, peerSlackShare),
-		}),
-		Post: f.post, Wait: share(settings.ConfigurationDelay, watchWaitShare), Pause: settings.StorePause.Std(),
+		Reader: f.source, Post: f.post, Wait: share(settings.ConfigurationDelay, watchWaitShare), Pause: settings.StorePause.Std(),
 	})
 	key, value, err := pollenplatform.EncodeInstance(f.self)
 	if err != nil {
@@ -231,15 +232,8 @@
 	case <-ctx.Done():
 		return
 	}
-	timer := time.NewTimer(pollenroster.Delay(f.self))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return
-	}
 	for ctx.Err() == nil {
-		if pollenroster.Serves(f.self, f.view.Table()) {
+		if pollenroster.Serves(f.self, f.view.Table()) && f.stillServes(ctx) {
 			f.serveCallers(ctx)
 			continue
 		}
@@ -250,6 +244,17 @@
 	}
 }
 
+// stillServes waits for instances that come first and reports whether this one is still to be named.
+func (f *Front) stillServes(ctx context.Context) bool {
+	timer := time.NewTimer(pollenroster.Delay(f.self, f.source.Rank()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil && pollenroster.Serves(f.self, f.view.Table())
+}
+
 // serveCallers keeps the instance registered until others are to be named in its place or ctx is done.
 func (f *Front) serveCallers(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
