--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -160,7 +160,7 @@
 	c.account.Sends++
 	c.account.LastServer = server.ID
 	order := Order{
-		Request: c.request, Server: server, TimeLeft: c.schedule.Limit.Sub(now),
+		Request: c.request, Server: server, Limit: c.schedule.Limit,
 		Connections: c.forwarder.connections(table, l.service, now), Needed: l.needed,
 	}
 	go c.exchange(i, len(l.tried)-1, permit, order)
--- a/pollen/pollenforward/forward_test.go
+++ b/pollen/pollenforward/forward_test.go
@@ -47,7 +47,7 @@
 func (f *fleet) Exchange(ctx context.Context, order Order) (*Answer, error) {
 	f.mu.Lock()
 	f.sent = append(f.sent, order.Server.ID)
-	f.timeLeft = append(f.timeLeft, order.TimeLeft)
+	f.timeLeft = append(f.timeLeft, time.Until(order.Limit))
 	b := f.behaviour[order.Server.ID]
 	f.mu.Unlock()
 	wait := time.After(b.delay)
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -31,8 +31,8 @@
 	Server  *pollencatalog.Server
 	// Connections is the number of connections to the server that this instance may hold.
 	Connections int
-	// TimeLeft is how long the server may work.
-	TimeLeft time.Duration
+	// Limit is when the caller stops waiting; servers are told how long that is when the request is sent.
+	Limit time.Time
 	// Needed is done once the request is of no use any more unless it has been sent.
 	Needed context.Context
 }
