--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -68,7 +68,7 @@
 )
 
 func (c *call) run(ctx context.Context) (*Reply, error) {
-	sending, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	sending, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.schedule.Limit)
 	c.sending = sending
 	defer func() { c.release(ctx, cancel) }()
 	now := time.Now()
@@ -77,7 +77,7 @@
 	}
 	for i := range c.legs {
 		l := &c.legs[i]
-		l.needed, l.satisfy = context.WithDeadline(sending, c.schedule.Limit)
+		l.needed, l.satisfy = context.WithCancel(sending)
 		defer l.satisfy()
 		c.forwarder.config.Budget.Count(l.service, now)
 		c.send(i, now)
@@ -230,9 +230,7 @@
 }
 
 func (c *call) exchange(i, number int, permit *pollenrank.Permit, order Order) {
-	ctx, cancel := context.WithDeadline(c.sending, c.schedule.Limit)
-	defer cancel()
-	answer, err := c.forwarder.config.Exchanger.Exchange(ctx, order)
+	answer, err := c.forwarder.config.Exchanger.Exchange(c.sending, order)
 	permit.Finish(outcome(order.Needed, answer, err), time.Now())
 	c.results <- result{leg: i, attempt: number, answer: answer, err: err}
 }
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -75,8 +75,6 @@
 	departedMemory = 15 * time.Second
 	// tickInterval is the resolution of the view's time-dependent state.
 	tickInterval = 250 * time.Millisecond
-	// lifetime is how long callers use an answer of the directory.
-	lifetime = time.Second
 )
 
 // A watch that has gone deaf is found after its wait and its slack; with the pause before it and the listing after it,
@@ -156,7 +154,7 @@
 	f.servers = []*http.Server{
 		f.server(settings.CallerAddress, f.ingress()),
 		f.server(settings.DirectoryAddress, pollenplatform.NewDirectory(pollenplatform.DirectoryConfig{
-			Instances: f.instances, Lifetime: min(lifetime, settings.LongestLifetime.Std()),
+			Instances: f.instances, Lifetime: min(settings.LongestLifetime.Std(), share(settings.StopTimeout, lifetimeShare)),
 		})),
 		f.server(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
 		f.server(settings.MetricsAddress, promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{})),
@@ -297,6 +295,9 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 const (
+	// lifetimeShare is the share of the stop timeout for which callers use an answer of the directory: it must have
+	// expired when a stopping instance closes.
+	lifetimeShare = 0.5
 	// serveShare is the share of the stop timeout during which late callers are still served: their copies of the
 	// directory's answer have expired by then.
 	serveShare = 0.7
