--- a/pollen/pollenlog/writer.go
+++ b/pollen/pollenlog/writer.go
@@ -44,16 +44,17 @@
 		return len(line), nil
 	}
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- append(make([]byte, 0, len(line)), line...):
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-// Close writes the lines that are queued; no line may be written afterwards.
+// Close writes the lines that are queued; lines that come later are dropped.
 func (w *Writer) Close() {
-	close(w.lines)
+	// A nil line ends the queue. The channel stays open, since other goroutines may still log.
+	w.lines <- nil
 	<-w.done
 }
 
@@ -62,7 +63,11 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
+	for {
+		line := <-w.lines
+		if line == nil {
+			return
+		}
 		// The output is the only place to report a failure to.
 		_, _ = w.out.Write(line)
 		if dropped := w.dropped.Swap(0); dropped > 0 {
--- a/pollen/pollenlog/writer_test.go
+++ b/pollen/pollenlog/writer_test.go
@@ -63,3 +63,20 @@
 		c.Assert(out.String(), qt.Contains, "Log lines dropped")
 	})
 }
+
+// Goroutines that have not heard of the shutdown go on logging.
+func TestWriterTakesLinesAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		w := NewWriter(&out, WriterConfig{Queue: 2, LinesPerSecond: 1000})
+		fmt.Fprint(w, "before\n")
+		w.Close()
+		for range 10 {
+			_, err := fmt.Fprint(w, "after\n")
+			c.Assert(err, qt.IsNil)
+		}
+		c.Assert(out.String(), qt.Equals, "before\n")
+		c.Assert(w.Dropped(), qt.Equals, int64(8))
+	})
+}
