Withdraw requests that are not sent instead of failing them

Change: each order carries a ticket that is claimed before the first byte or withdrawn; what was withdrawn everywhere is refused as not run, and a request that must not run twice is sent elsewhere while its connection is still being made.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -46,6 +46,7 @@
 type attempt struct {
 	server *pollencatalog.Server
 	permit *pollenrank.Permit
+	ticket *Ticket
 	// ended is set once there is a result, notRun if the server has not run the request.
 	ended, notRun bool
 }
@@ -154,14 +155,15 @@
 		return false
 	}
 	permit := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
-	l.tried = append(l.tried, attempt{server: server, permit: permit})
+	ticket := &Ticket{}
+	l.tried = append(l.tried, attempt{server: server, permit: permit, ticket: ticket})
 	l.open++
 	l.sends++
 	c.account.Sends++
 	c.account.LastServer = server.ID
 	order := Order{
 		Request: c.request, Server: server, Limit: c.schedule.Limit,
-		Connections: c.forwarder.connections(table, l.service, now), Needed: l.needed,
+		Connections: c.forwarder.connections(table, l.service, now), Needed: l.needed, Ticket: ticket,
 	}
 	go c.exchange(i, len(l.tried)-1, permit, order)
 	return true
@@ -314,20 +316,27 @@
 }
 
 // hedge asks another server for each leg that is still without an answer.
+//
+// Load pattern: servers are dark, and connections to them hang until the dial timeout.
 func (c *call) hedge(now time.Time) {
 	if c.hedged || now.Before(c.schedule.Hedge) {
 		return
 	}
 	c.hedged = true
-	if !c.route.Idempotent {
-		return
-	}
 	for i := range c.legs {
 		l := &c.legs[i]
 		if l.answer != nil || l.open == 0 {
 			continue
 		}
-		l.tried[len(l.tried)-1].permit.Note(now)
+		last := &l.tried[len(l.tried)-1]
+		last.permit.Note(now)
+		if !c.route.Idempotent {
+			// A request that is still connecting can be replaced without running twice.
+			if !last.ticket.Withdraw() {
+				continue
+			}
+			last.notRun = true
+		}
 		if c.mayRetry(l, now) && c.send(i, now) {
 			c.account.Hedges++
 		}
@@ -370,7 +379,7 @@
 		return c.reply(), nil
 	case !c.route.Sharded() && c.failure != nil && c.relayable(c.failure):
 		return &Reply{Answer: *c.failure}, nil
-	case !c.ran && c.nothingOpen():
+	case c.neverRuns():
 		return nil, &RefusedError{Cause: "no server took the request", RetryAfter: ReturnWhenFree(c.schedule.End.Sub(now), rand.Float64())}
 	case !now.Before(c.schedule.End):
 		return nil, &FailedError{Cause: "no answer in time", TimedOut: true}
@@ -387,6 +396,19 @@
 	return true
 }
 
+// neverRuns withdraws what is not sent yet, and reports whether no server has run the request or ever will.
+func (c *call) neverRuns() bool {
+	withdrawn := !c.ran
+	for i := range c.legs {
+		for _, a := range c.legs[i].tried {
+			if !a.ended && !a.ticket.Withdraw() {
+				withdrawn = false
+			}
+		}
+	}
+	return withdrawn
+}
+
 // relayable reports whether a server's failure can be passed on: statuses that state that a request has not run are
 // not, since it has.
 func (c *call) relayable(a *Answer) bool {
--- a/pollen/pollenforward/forward_test.go
+++ b/pollen/pollenforward/forward_test.go
@@ -27,8 +27,8 @@
 	status int
 	body   string
 	err    error
-	// hang keeps the request open until it is cancelled.
-	hang bool
+	// hang keeps the request open until it is cancelled, unsent before it is sent.
+	hang, unsent bool
 }
 
 // fleet is an Exchanger whose servers behave as a test says.
@@ -50,6 +50,9 @@
 	f.timeLeft = append(f.timeLeft, time.Until(order.Limit))
 	b := f.behaviour[order.Server.ID]
 	f.mu.Unlock()
+	if !b.unsent && !order.Ticket.Claim() {
+		return nil, &UnsentError{Server: order.Server.ID, Err: &WithdrawnError{}}
+	}
 	wait := time.After(b.delay)
 	if b.hang {
 		wait = nil
@@ -180,6 +183,9 @@
 		{name: "not run is retried", first: notRun, second: behaviour{}, status: 200, sends: 2},
 		{name: "unsent is retried", first: unsent, second: behaviour{}, status: 200, sends: 2},
 		{name: "not run anywhere is refused", first: notRun, second: notRun, refused: true, sends: 4},
+		{name: "connecting until the end", first: behaviour{hang: true, unsent: true}, second: behaviour{hang: true, unsent: true}, refused: true, sends: 2},
+		{name: "connecting, replaced by another", first: behaviour{hang: true, unsent: true}, second: behaviour{}, status: 200, sends: 2},
+		{name: "hanging until the end", first: behaviour{hang: true}, second: behaviour{hang: true}, failed: true, sends: 1},
 		{name: "not run, then broken", first: notRun, second: broken, failed: true, sends: 2},
 		{name: "failure with a signature is relayed", first: behaviour{status: 500}, second: behaviour{status: 500}, status: 500, sends: 1},
 		{name: "503 of a server that ran is no refusal", first: behaviour{status: 503}, second: behaviour{status: 503}, failed: true, sends: 1},
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
@@ -35,8 +36,33 @@
 	Limit time.Time
 	// Needed is done once the request is of no use any more unless it has been sent.
 	Needed context.Context
+	// Ticket must be claimed immediately before the first byte is sent.
+	Ticket *Ticket
 }
 
+// Ticket decides between sending a request and withdrawing it; only one of the two can happen.
+type Ticket struct {
+	state atomic.Int32
+}
+
+const (
+	ticketClaimed   = 1
+	ticketWithdrawn = 2
+)
+
+// Claim reports whether the request may be sent.
+func (t *Ticket) Claim() bool { return t.state.CompareAndSwap(0, ticketClaimed) }
+
+// Withdraw reports whether the request will never be sent.
+func (t *Ticket) Withdraw() bool {
+	return t.state.CompareAndSwap(0, ticketWithdrawn) || t.state.Load() == ticketWithdrawn
+}
+
+// WithdrawnError reports a request that was withdrawn before it was sent.
+type WithdrawnError struct{}
+
+func (e *WithdrawnError) Error() string { return "request was withdrawn before it was sent" }
+
 // Answer is a server's whole answer.
 type Answer struct {
 	Status int
