Allow 20 ms for the way between caller and instance

Cause: answers that were sealed at 84 ms of an objective of 100 ms were late at the caller, whose clock starts with its first attempt: it may ask the directory and connect before the request, up to four round trips. Change: the default of CallerTrip from 10 to 20 ms.

--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -55,7 +55,7 @@
 		RetryWindow:        pollensettings.Duration(10 * time.Second),
 		StopTimeout:        pollensettings.Duration(6 * time.Second),
 		LongestLifetime:    pollensettings.Duration(5 * time.Second),
-		CallerTrip:         pollensettings.Duration(10 * time.Millisecond),
+		CallerTrip:         pollensettings.Duration(20 * time.Millisecond),
 		StoreTimeout:       pollensettings.Duration(time.Second),
 		StorePause:         pollensettings.Duration(400 * time.Millisecond),
 		ConfigurationDelay: pollensettings.Duration(3 * time.Second),
