Leave a server out at once when another one has its address

Addresses of dead servers had been taken over by servers of other services, and requests to them arrived there, were refused with 421 and counted as extra ones. The ranking took them for sheds and went on. Found besides: the budget counted in the time of day, which may jump.

--- a/pollen/pollenbudget/budget.go
+++ b/pollen/pollenbudget/budget.go
@@ -19,6 +19,9 @@
 type Budget struct {
 	config Config
 
+	// begun is where steps are counted from; unlike the time of day, the time since then does not jump.
+	begun time.Time
+
 	mu       sync.Mutex
 	services map[string]*account
 }
@@ -34,7 +37,7 @@
 
 // New returns a Budget without any requests counted.
 func New(config Config) *Budget {
-	return &Budget{config: config, services: make(map[string]*account)}
+	return &Budget{config: config, begun: time.Now(), services: make(map[string]*account)}
 }
 
 // Configure replaces the limits; requests that were counted stay counted unless the window changes.
@@ -78,12 +81,13 @@
 }
 
 func (b *Budget) account(service string, now time.Time) *account {
+	step := int64(now.Sub(b.begun) / (b.config.Window / steps))
 	a, ok := b.services[service]
 	if !ok {
-		a = &account{}
+		a = &account{step: step}
 		b.services[service] = a
 	}
-	a.advance(now.UnixNano() / int64(b.config.Window/steps))
+	a.advance(step)
 	return a
 }
 
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -240,6 +240,8 @@
 func outcome(needed context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
 	switch {
+	case errors.As(err, &notRun) && notRun.Misdirected:
+		return pollenrank.Misdirected
 	case errors.As(err, &notRun):
 		return pollenrank.Shed
 	case err != nil && needed.Err() != nil:
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -33,6 +33,8 @@
 	Answered Outcome = iota
 	// Shed is a refusal of a server that has not run the request.
 	Shed
+	// Misdirected is a refusal by another server that has taken over the address.
+	Misdirected
 	// Failed is a broken connection, a wrong answer or an internal error.
 	Failed
 	// Abandoned is a request that was given up before it was answered; it says nothing but how long it took.
@@ -216,6 +218,8 @@
 	case Shed:
 		s.failing += learning * (1 - s.failing)
 		s.failures, s.ejectedUntil = 0, time.Time{}
+	case Misdirected:
+		s.gone(now)
 	case Failed:
 		s.failing += learning * (1 - s.failing)
 		s.fail(now)
@@ -297,6 +301,14 @@
 	return s.probing != nil || now.Before(s.ejectedUntil)
 }
 
+// gone leaves the server out until its entry goes, but for rare probes: the requests to its address reach a server of
+// another service and count as extra ones there.
+func (s *server) gone(now time.Time) {
+	s.failing, s.answered = 1, time.Time{}
+	s.failures = max(s.failures, ejectionFailures)
+	s.ejectedUntil = now.Add(longestEjection)
+}
+
 func (s *server) ejectable(now time.Time) bool {
 	return s.failures >= ejectionFailures && now.Sub(s.answered) > ejectionSilence
 }
--- a/pollen/pollenrank/rank_test.go
+++ b/pollen/pollenrank/rank_test.go
@@ -95,6 +95,22 @@
 	c.Assert(counts[0], qt.Equals, 10)
 }
 
+// Load pattern: the addresses of dead servers are taken over by servers of other services, which refuse each request
+// that still goes there. One refusal must be enough.
+func TestMisdirectedServerIsLeftOutAtOnce(t *testing.T) {
+	c := qt.New(t)
+	r := newRanking(1)
+	both := servers(2)
+	replay(r, both, begun, 100, func(int, time.Duration) (time.Duration, Outcome) { return 15 * time.Millisecond, Answered })
+	counts := replay(r, both, begun.Add(20*time.Second), 35, func(i int, _ time.Duration) (time.Duration, Outcome) {
+		if i == 0 {
+			return time.Millisecond, Misdirected
+		}
+		return 15 * time.Millisecond, Answered
+	})
+	c.Assert(counts[0], qt.Equals, 1)
+}
+
 func TestStalledServerIsAvoided(t *testing.T) {
 	c := qt.New(t)
 	r := newRanking(1)
--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -34,7 +34,7 @@
 			Summary:     "check a settings file and exit",
 			Help:        "check -settings FILE\n\nExits with status 2 and names file and field when the settings are refused.",
 			Flags:       flags,
-			Run:         func(context.Context, []string) error { return check(file) },
+			Run:         func(context.Context, []string) error { return check(file, polleninstance.DefaultSettings()) },
 		},
 		&pollencommand.Command{
 			CommandName: "front",
@@ -43,6 +43,13 @@
 			Flags:       flags,
 			Run:         func(ctx context.Context, _ []string) error { return front(ctx, file) },
 		},
+		&pollencommand.Command{
+			CommandName: "check-front",
+			Summary:     "check a settings file of front and exit",
+			Help:        "check-front -settings FILE\n\nExits with status 2 and names file and field when the settings are refused.",
+			Flags:       flags,
+			Run:         func(context.Context, []string) error { return check(file, pollenfront.DefaultSettings()) },
+		},
 	))
 }
 
@@ -95,8 +102,8 @@
 	return polleninstance.New(polleninstance.Dial(settings, logger)).Run(pollencommand.UntilSignal(ctx))
 }
 
-func check(file string) error {
-	if err := pollensettings.Load(file, polleninstance.DefaultSettings()); err != nil {
+func check(file string, settings pollensettings.Checker) error {
+	if err := pollensettings.Load(file, settings); err != nil {
 		return err
 	}
 	fmt.Printf("%s: settings are valid\n", file)
