Split the forwarder's call and the front's enlisting, log a key only when it says something new

Read as a newcomer: call.go held legs, refusals and the course of a call; front.go held assembly and roster. A listing logged every key again.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
@@ -30,27 +29,6 @@
 	failure *Answer
 }
 
-// leg is the part of a call that one service answers.
-type leg struct {
-	service string
-	answer  *Answer
-	// open counts requests without an answer, runs those that may have run, sends all of them.
-	open, runs, sends int
-	tried             []attempt
-	// needed is cancelled when the leg is answered or the call has ended.
-	needed  context.Context
-	satisfy context.CancelFunc
-}
-
-// attempt is one request of a leg to one server.
-type attempt struct {
-	server *pollencatalog.Server
-	permit *pollenrank.Permit
-	ticket *Ticket
-	// ended is set once there is a result, notRun if the server has not run the request.
-	ended, notRun bool
-}
-
 type result struct {
 	leg     int
 	attempt int
@@ -58,16 +36,6 @@
 	err     error
 }
 
-// spareSends is the number of requests that a leg may send beyond its attempts, to replace those that did not run.
-const spareSends = 2
-
-// returnShare bounds when a refused caller is asked to come back, as shares of the time that it has left. Callers wait
-// up to a third of it, so the upper bound lets one more try fall as late as it is of use.
-const (
-	soonestReturn = 0.15
-	latestReturn  = 0.3
-)
-
 func (c *call) run(ctx context.Context) (*Reply, error) {
 	sending, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.schedule.Limit)
 	c.sending = sending
@@ -134,103 +102,6 @@
 	return max(needed, 1)
 }
 
-// ReturnWhenBack returns when to come back to a tier that lacks servers or configuration, of which nobody knows how
-// long it takes: as late as the caller can still be served.
-func ReturnWhenBack(timeLeft time.Duration) time.Duration { return share(timeLeft, latestReturn) }
-
-// ReturnWhenFree returns when to come back after servers had no room.
-//
-// Load pattern: more is asked than the servers' slots carry. Callers who return together would be refused together, so
-// their returns are spread.
-func ReturnWhenFree(timeLeft time.Duration, random float64) time.Duration {
-	return share(timeLeft, soonestReturn+(latestReturn-soonestReturn)*random)
-}
-
-// send asks one more server of a leg and reports whether there was one.
-func (c *call) send(i int, now time.Time) bool {
-	l := &c.legs[i]
-	table := c.forwarder.config.Table()
-	server, ok := c.choose(table, l, now)
-	if !ok || !c.forwarder.config.Ramp.Take(server, table, now) {
-		return false
-	}
-	permit := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
-	ticket := &Ticket{}
-	l.tried = append(l.tried, attempt{server: server, permit: permit, ticket: ticket})
-	l.open++
-	l.sends++
-	c.account.Sends++
-	c.account.LastServer = server.ID
-	order := Order{
-		Request: c.request, Server: server, Limit: c.schedule.Limit,
-		Connections: c.forwarder.connections(table, l.service, now), Needed: l.needed, Ticket: ticket,
-	}
-	go c.exchange(i, len(l.tried)-1, permit, order)
-	return true
-}
-
-// choose returns the server to ask next: one that has not been asked, else one that has failed the leg at once.
-//
-// Load pattern: every server loses a share of its answers. With two replicas a second round often succeeds where the
-// first did not, and stays within the number of servers that may run the request.
-func (c *call) choose(table *pollencatalog.Table, l *leg, now time.Time) (*pollencatalog.Server, bool) {
-	var fresh, again []*pollencatalog.Server
-	for _, server := range table.Usable(nil, l.service) {
-		switch {
-		case !l.asked(server):
-			fresh = append(fresh, server)
-		case !l.waitsFor(server):
-			again = append(again, server)
-		}
-	}
-	if l.servers() >= c.route.Attempts {
-		fresh = nil
-	}
-	if server, ok := c.best(table, l, fresh, now); ok {
-		return server, true
-	}
-	return c.best(table, l, again, now)
-}
-
-// best returns the best of the servers that have a free connection, else the best of the others.
-func (c *call) best(table *pollencatalog.Table, l *leg, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
-	servers = slices.DeleteFunc(servers, func(s *pollencatalog.Server) bool { return !c.forwarder.config.Ramp.May(s, table, now) })
-	connections := c.forwarder.connections(table, l.service, now)
-	free := make([]*pollencatalog.Server, 0, len(servers))
-	for _, server := range servers {
-		if c.forwarder.config.Exchanger.Free(server, connections) {
-			free = append(free, server)
-		}
-	}
-	for _, candidates := range [][]*pollencatalog.Server{free, servers} {
-		if i, ok := c.forwarder.config.Ranking.Best(c.route.Name, candidates, now); ok {
-			return candidates[i], true
-		}
-	}
-	return nil, false
-}
-
-// asked reports whether a request of the leg was sent to a server.
-func (l *leg) asked(server *pollencatalog.Server) bool {
-	return slices.ContainsFunc(l.tried, func(a attempt) bool { return a.server.Incarnation() == server.Incarnation() })
-}
-
-// waitsFor reports whether a request of the leg to a server is still open.
-func (l *leg) waitsFor(server *pollencatalog.Server) bool {
-	return slices.ContainsFunc(l.tried, func(a attempt) bool { return !a.ended && a.server.Incarnation() == server.Incarnation() })
-}
-
-// servers returns the number of servers that may have run a request of the leg or may still do so.
-func (l *leg) servers() int {
-	counted := make([]pollencatalog.Incarnation, 0, len(l.tried))
-	for _, a := range l.tried {
-		if !a.notRun && !slices.Contains(counted, a.server.Incarnation()) {
-			counted = append(counted, a.server.Incarnation())
-		}
-	}
-	return len(counted)
-}
-
 func (c *call) exchange(i, number int, permit *pollenrank.Permit, order Order) {
 	answer, err := c.forwarder.config.Exchanger.Exchange(c.sending, order)
 	permit.Finish(outcome(order.Needed, answer, err), time.Now())
@@ -263,6 +134,7 @@
 			l.answer = r.answer
 			l.satisfy()
 			c.covered++
+			c.account.Covered = c.covered
 		}
 		return
 	}
@@ -298,25 +170,6 @@
 	c.failure = r.answer
 }
 
-// mayRetry reports whether a leg may send one more request, and takes it from the budget.
-func (c *call) mayRetry(l *leg, now time.Time) bool {
-	if l.sends >= c.route.Attempts+spareSends || !now.Before(c.schedule.End) {
-		return false
-	}
-	if !c.route.Idempotent && l.runs > 0 {
-		return false
-	}
-	table := c.forwarder.config.Table()
-	if _, ok := c.choose(table, l, now); !ok {
-		return false
-	}
-	if !c.forwarder.config.Budget.Take(l.service, now, table.Sharers()) {
-		c.account.Denied++
-		return false
-	}
-	return true
-}
-
 // hedge asks another server for each leg that is still without an answer.
 //
 // Load pattern: servers are dark, and connections to them hang until the dial timeout.
@@ -375,7 +228,6 @@
 }
 
 func (c *call) conclude(now time.Time) (*Reply, error) {
-	c.account.Covered = c.covered
 	switch {
 	case c.covered >= c.needed():
 		return c.reply(), nil
--- a/pollen/pollenforward/plan.go
+++ b/pollen/pollenforward/plan.go
@@ -75,4 +75,24 @@
 	}
 }
 
+// These bound when a refused caller is asked to come back, as shares of the time that it has left. Callers wait
+// up to a third of it, so the upper bound lets one more try fall as late as it is of use.
+const (
+	soonestReturn = 0.15
+	latestReturn  = 0.3
+)
+
+// ReturnWhenBack returns when to come back to a tier that lacks servers or configuration, of which nobody knows how
+// long it takes: as late as the caller can still be served.
+func ReturnWhenBack(timeLeft time.Duration) time.Duration { return share(timeLeft, latestReturn) }
+
+// ReturnWhenFree returns when to come back after servers had no room.
+//
+// Load pattern: more is asked than the servers' slots carry. Callers who return together would be refused together, so
+// their returns are spread.
+func ReturnWhenFree(timeLeft time.Duration, random float64) time.Duration {
+	return share(timeLeft, soonestReturn+(latestReturn-soonestReturn)*random)
+}
+
+// share returns a part of a duration.
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -1,6 +1,7 @@
 package pollenview
 
 import (
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -104,7 +105,7 @@
 			return
 		}
 	}
-	v.publish(now)
+	v.publish()
 }
 
 func (v *View) lose(err error) {
@@ -155,8 +156,10 @@
 	case record == Record{}:
 		delete(v.keys, entry.Key)
 	default:
+		if before, ok := v.keys[entry.Key]; !ok || !reflect.DeepEqual(before.record, record) {
+			v.logRecord("Key written", entry.Key, entry.Version, record)
+		}
 		v.keys[entry.Key] = &known{record: record}
-		v.logRecord("Key written", entry.Key, entry.Version, record)
 	}
 }
 
@@ -214,7 +217,7 @@
 	return changed
 }
 
-func (v *View) publish(time.Time) {
+func (v *View) publish() {
 	config := pollencatalog.TableConfig{Configuration: v.configuration, Evacuated: make(map[string]bool)}
 	for _, k := range v.keys {
 		switch {
--- a/pollenentry/pollenfront/front.go
+++ b/pollenentry/pollenfront/front.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +25,6 @@
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenrelay"
-	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollenview"
 )
@@ -94,15 +92,6 @@
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
-// watcher returns the instance that follows the store for this one.
-func (f *Front) watcher() (netip.AddrPort, bool) {
-	watcher, ok := pollenroster.Watcher(f.view.Table().Instances(), f.self.Zone)
-	if !ok || watcher.Name == f.self.Name || !watcher.PeerAddress.IsValid() {
-		return netip.AddrPort{}, false
-	}
-	return watcher.PeerAddress, true
-}
-
 func share(d pollensettings.Duration, part float64) time.Duration {
 	return time.Duration(float64(d) * part)
 }
@@ -223,60 +212,6 @@
 	return nil
 }
 
-// enlist keeps the instance registered while it is one of those that are named to callers, until ctx is done.
-func (f *Front) enlist(ctx context.Context) {
-	select {
-	case <-f.listed:
-	case <-ctx.Done():
-		return
-	}
-	for ctx.Err() == nil {
-		if pollenroster.Serves(f.self, f.view.Table()) && f.stillServes(ctx) {
-			f.serveCallers(ctx)
-			continue
-		}
-		select {
-		case <-f.changed:
-		case <-ctx.Done():
-		}
-	}
-}
-
-// stillServes waits for instances that come first and reports whether this one is still to be named.
-func (f *Front) stillServes(ctx context.Context) bool {
-	timer := time.NewTimer(pollenroster.Delay(f.self, f.source.Rank()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil && pollenroster.Serves(f.self, f.view.Table())
-}
-
-// serveCallers keeps the instance registered until others are to be named in its place or ctx is done.
-func (f *Front) serveCallers(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
-	f.enlisted.Store(true)
-	go func() {
-		defer close(done)
-		f.registrar.Run(ctx)
-	}()
-	for pollenroster.Serves(f.self, f.view.Table()) {
-		select {
-		case <-f.changed:
-		case <-ctx.Done():
-			<-done
-			return
-		}
-	}
-	klog.InfoS("Standing by, others are named to callers", "zone", f.self.Zone)
-	f.enlisted.Store(false)
-	cancel()
-	<-done
-}
-
 // Reload applies the settings that can change while the instance serves, and logs those that need a restart.
 func (f *Front) Reload(settings *Settings) {
 	before := f.settings.Swap(settings)
@@ -368,15 +303,6 @@
 	f.checkRegistration(table)
 }
 
-// checkRegistration writes the instance's key again if the store has dropped it while the lease lives.
-func (f *Front) checkRegistration(table *pollencatalog.Table) {
-	named := slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
-	if f.named && !named && f.enlisted.Load() {
-		f.registrar.Rewrite()
-	}
-	f.named = named
-}
-
 func (f *Front) ready() bool {
 	return !f.leaving.Load() && f.view.Table().Configuration() != nil
 }
