--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -87,14 +87,11 @@
 // Takes reports whether a server may get new requests.
 func (t *Table) Takes(s *Server) bool { return !s.Leaving && !t.evacuated[s.Zone] }
 
-// Current returns the present state of a server's incarnation.
-func (t *Table) Current(s *Server) (*Server, bool) {
-	for _, known := range t.servers[s.Service] {
-		if known.Incarnation() == s.Incarnation() {
-			return known, true
-		}
-	}
-	return nil, false
+// Incarnations returns the incarnations of all known servers.
+func (t *Table) Incarnations() map[Incarnation]bool {
+	known := make(map[Incarnation]bool)
+	t.Each(func(s *Server) { known[s.Incarnation()] = true })
+	return known
 }
 
 // Each calls visit for every known server.
--- a/pollen/pollenramp/ramp.go
+++ b/pollen/pollenramp/ramp.go
@@ -81,8 +81,7 @@
 func (r *Ramp) Forget(table *pollencatalog.Table) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	named := make(map[pollencatalog.Incarnation]bool)
-	table.Each(func(s *pollencatalog.Server) { named[s.Incarnation()] = true })
+	named := table.Incarnations()
 	for incarnation := range r.servers {
 		if !named[incarnation] {
 			delete(r.servers, incarnation)
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -174,8 +174,7 @@
 func (r *Ranking) Forget(table *pollencatalog.Table) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	named := make(map[pollencatalog.Incarnation]bool)
-	table.Each(func(s *pollencatalog.Server) { named[s.Incarnation()] = true })
+	named := table.Incarnations()
 	for incarnation, s := range r.servers {
 		if !named[incarnation] && len(s.open) == 0 {
 			delete(r.servers, incarnation)
