Admit requests by room at servers, wait in the instance, refuse early

Cause: at two to three times the load every request was sent at once.

Change: an instance takes others to keep a server as busy as it does itself on average, and sends only while the wait for a slot that follows leaves the usual latency within the objective. Requests that find no room wait in a line ordered by priority and arrival, for a quarter of the objective at most, and are refused before any server has worked. A query starts once 85 in 100 of the shards that it needs have room; the others stay pending. Hedges and retries need room too. A server is chosen once for a retry or hedge, not twice.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenrank"
 )
@@ -40,16 +43,12 @@
 	sending, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.schedule.Limit)
 	c.sending = sending
 	defer func() { c.release(ctx, cancel) }()
-	now := time.Now()
-	if err := c.admit(now); err != nil {
-		return nil, err
-	}
 	for i := range c.legs {
-		l := &c.legs[i]
-		l.needed, l.satisfy = context.WithCancel(sending)
-		defer l.satisfy()
-		c.forwarder.config.Budget.Count(l.service, now)
-		c.send(i, now)
+		c.legs[i].needed, c.legs[i].satisfy = context.WithCancel(sending)
+		defer c.legs[i].satisfy()
+	}
+	if err := c.admit(ctx, time.Now()); err != nil {
+		return nil, err
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -63,17 +62,21 @@
 		case <-timer.C:
 			c.hedge(time.Now())
 		}
+		c.resume(time.Now())
 	}
 	return c.conclude(time.Now())
 }
 
-// admit refuses a request that cannot reach its coverage with the servers that are not left out.
+// admit starts the call, or refuses it if it cannot reach its coverage with the servers that are not left out, or if
+// these have no room in time.
 //
-// Load pattern: all servers of several shards are down. Asking the others would use their slots for nothing.
-func (c *call) admit(now time.Time) error {
+// Load pattern: all servers of several shards are down, or more is asked than they carry. Asking the others would use
+// their slots for nothing.
+func (c *call) admit(ctx context.Context, now time.Time) error {
 	if !now.Before(c.schedule.End) {
 		return &RefusedError{Cause: "no time left on arrival"}
 	}
+	left := c.schedule.End.Sub(now)
 	table := c.forwarder.config.Table()
 	available := 0
 	for i := range c.legs {
@@ -81,12 +84,84 @@
 			available++
 		}
 	}
-	if available >= c.needed() {
+	if available < c.needed() {
+		return &RefusedError{
+			Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.legs), c.needed()),
+			RetryAfter: ReturnWhenBack(left),
+		}
+	}
+	started := c.forwarder.line.Enter(ctx, pollenadmit.Request{
+		Priority: c.route.Priority, Arrived: c.request.Received, Until: c.schedule.Start, Start: c.start,
+	})
+	c.account.Waited = time.Since(now)
+	switch {
+	case started:
 		return nil
+	case ctx.Err() != nil:
+		return &GoneError{}
 	}
 	return &RefusedError{
-		Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.legs), c.needed()),
-		RetryAfter: ReturnWhenBack(c.schedule.End.Sub(now)),
+		Cause:      fmt.Sprintf("servers of too few services have room, %d of %d needed", c.needed(), len(c.legs)),
+		RetryAfter: ReturnWhenFree(left, rand.Float64()),
+	}
+}
+
+// start sends the first request of each leg if enough of them have room; the others stay pending.
+func (c *call) start(now time.Time) bool {
+	chosen := make([]*pollencatalog.Server, len(c.legs))
+	ready := 0
+	for i := range c.legs {
+		if server, ok := c.choose(&c.legs[i], now); ok {
+			chosen[i] = server
+			ready++
+		}
+	}
+	if ready < c.readyToStart() {
+		return false
+	}
+	for i, server := range chosen {
+		c.forwarder.config.Budget.Count(c.legs[i].service, now)
+		c.first(i, server, now)
+	}
+	return true
+}
+
+// readyShare is the part of the services needed that must have room at the start: others are expected to find some
+// before the answer is sealed, as long as it is few that lack it.
+const readyShare = 0.85
+
+func (c *call) readyToStart() int {
+	return max(1, int(math.Ceil(readyShare*float64(c.needed()))))
+}
+
+// first sends the first request of a leg to a server that was chosen, or leaves it pending if there is none.
+func (c *call) first(i int, server *pollencatalog.Server, now time.Time) {
+	l := &c.legs[i]
+	l.pending = (server == nil || !c.send(i, server, now)) && c.mayGetRoom(l, now)
+}
+
+// resume sends what was pending for lack of room.
+func (c *call) resume(now time.Time) {
+	for i := range c.legs {
+		l := &c.legs[i]
+		switch {
+		case l.answer != nil || !l.pending:
+		case len(l.tried) == 0:
+			server, _ := c.choose(l, now)
+			c.first(i, server, now)
+		case l.open == 0:
+			c.retry(i, now)
+		}
+	}
+}
+
+// retry asks another server of a leg, now or when there is room, if its attempts and the budget allow.
+func (c *call) retry(i int, now time.Time) {
+	l := &c.legs[i]
+	server, verdict := c.mayRetry(l, now)
+	l.pending = verdict == retryNoRoom
+	if verdict == retryNow && c.send(i, server, now) {
+		c.account.Retries++
 	}
 }
 
@@ -105,6 +180,7 @@
 func (c *call) exchange(i, number int, permit *pollenrank.Permit, order Order) {
 	answer, err := c.forwarder.config.Exchanger.Exchange(c.sending, order)
 	permit.Finish(outcome(order.Needed, answer, err), time.Now())
+	c.forwarder.line.Wake(time.Now())
 	c.results <- result{leg: i, attempt: number, answer: answer, err: err}
 }
 
@@ -139,8 +215,8 @@
 		return
 	}
 	c.recordFailure(l, r)
-	if l.answer == nil && l.open == 0 && c.mayRetry(l, time.Now()) && c.send(r.leg, time.Now()) {
-		c.account.Retries++
+	if l.answer == nil && l.open == 0 {
+		c.retry(r.leg, time.Now())
 	}
 }
 
@@ -192,14 +268,29 @@
 			}
 			last.notRun = true
 		}
-		if c.mayRetry(l, now) && c.send(i, now) {
+		if server, verdict := c.mayRetry(l, now); verdict == retryNow && c.send(i, server, now) {
 			c.account.Hedges++
 		}
 	}
 }
 
+// roomInterval is the time after which a pending leg looks for room again.
+const roomInterval = 5 * time.Millisecond
+
 // nextMoment returns when the call has to act without a result.
 func (c *call) nextMoment(now time.Time) time.Time {
+	next := c.nextStep(now)
+	if c.anyPending() && next.Sub(now) > roomInterval {
+		return now.Add(roomInterval)
+	}
+	return next
+}
+
+func (c *call) anyPending() bool {
+	return slices.ContainsFunc(c.legs, func(l leg) bool { return l.answer == nil && l.pending })
+}
+
+func (c *call) nextStep(now time.Time) time.Time {
 	if !c.hedged {
 		return c.schedule.Hedge
 	}
@@ -216,7 +307,7 @@
 	}
 	waiting := 0
 	for i := range c.legs {
-		if c.legs[i].answer == nil && c.legs[i].open > 0 {
+		if l := &c.legs[i]; l.answer == nil && (l.open > 0 || l.pending) {
 			waiting++
 		}
 	}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenramp"
@@ -32,6 +33,7 @@
 type Forwarder struct {
 	config  Config
 	started time.Time
+	line    pollenadmit.Line
 }
 
 // New returns a Forwarder.
@@ -94,6 +96,8 @@
 	Covered int
 	// Sends counts requests to servers; Hedges and Retries are among them.
 	Sends, Hedges, Retries int
+	// Waited is how long the request waited for room.
+	Waited time.Duration
 	// Refusals counts servers that did not run the request, Failures those without a usable answer.
 	Refusals, Failures int
 	// Denied counts retries and hedges that the budget did not allow.
--- a/pollen/pollenforward/leg.go
+++ b/pollen/pollenforward/leg.go
@@ -16,6 +16,8 @@
 	// open counts requests without an answer, runs those that may have run, sends all of them.
 	open, runs, sends int
 	tried             []attempt
+	// pending is set while the leg wants to send a request and its servers have no room.
+	pending bool
 	// needed is cancelled when the leg is answered or the call has ended.
 	needed  context.Context
 	satisfy context.CancelFunc
@@ -33,12 +35,11 @@
 // spareSends is the number of requests that a leg may send beyond its attempts, to replace those that did not run.
 const spareSends = 2
 
-// send asks one more server of a leg and reports whether there was one.
-func (c *call) send(i int, now time.Time) bool {
+// send asks a server that was chosen for a leg, and reports false if its ramp does not allow it any more.
+func (c *call) send(i int, server *pollencatalog.Server, now time.Time) bool {
 	l := &c.legs[i]
 	table := c.forwarder.config.Table()
-	server, ok := c.choose(table, l, now)
-	if !ok || !c.forwarder.config.Ramp.Take(server, table, now) {
+	if !c.forwarder.config.Ramp.Take(server, table, now) {
 		return false
 	}
 	permit := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
@@ -60,7 +61,8 @@
 //
 // Load pattern: every server loses a share of its answers. With two replicas a second round often succeeds where the
 // first did not, and stays within the number of servers that may run the request.
-func (c *call) choose(table *pollencatalog.Table, l *leg, now time.Time) (*pollencatalog.Server, bool) {
+func (c *call) choose(l *leg, now time.Time) (*pollencatalog.Server, bool) {
+	table := c.forwarder.config.Table()
 	var fresh, again []*pollencatalog.Server
 	for _, server := range table.Usable(nil, l.service) {
 		switch {
@@ -79,7 +81,7 @@
 	return c.best(table, l, again, now)
 }
 
-// best returns the best of the servers that have a free connection, else the best of the others.
+// best returns the best of the servers that have a free connection, else the best of the others, if it has room.
 func (c *call) best(table *pollencatalog.Table, l *leg, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
 	servers = slices.DeleteFunc(servers, func(s *pollencatalog.Server) bool { return !c.forwarder.config.Ramp.May(s, table, now) })
 	connections := c.forwarder.connections(table, l.service, now)
@@ -89,9 +91,10 @@
 			free = append(free, server)
 		}
 	}
+	room := pollenrank.Room{Within: c.schedule.Seal.Sub(c.request.Received), Instances: len(table.Instances())}
 	for _, candidates := range [][]*pollencatalog.Server{free, servers} {
 		if i, ok := c.forwarder.config.Ranking.Best(c.route.Name, candidates, now); ok {
-			return candidates[i], true
+			return candidates[i], c.forwarder.config.Ranking.HasRoom(c.route.Name, candidates[i], room, now)
 		}
 	}
 	return nil, false
@@ -118,21 +121,40 @@
 	return len(counted)
 }
 
-// mayRetry reports whether a leg may send one more request, and takes it from the budget.
-func (c *call) mayRetry(l *leg, now time.Time) bool {
+// mayGetRoom reports whether it is worth waiting for room: servers that are left out will not have any in time.
+func (c *call) mayGetRoom(l *leg, now time.Time) bool {
+	return c.forwarder.config.Ranking.Available(c.forwarder.config.Table().Usable(nil, l.service), now)
+}
+
+// verdict says whether a leg may send one more request.
+type verdict int
+
+const (
+	retryNever verdict = iota
+	// retryNoRoom is for a leg whose servers may have room later.
+	retryNoRoom
+	retryNow
+)
+
+// mayRetry decides whether a leg may send one more request, and to which server, and takes it from the budget if it may
+// do so now.
+func (c *call) mayRetry(l *leg, now time.Time) (*pollencatalog.Server, verdict) {
 	if l.sends >= c.route.Attempts+spareSends || !now.Before(c.schedule.End) {
-		return false
+		return nil, retryNever
 	}
 	if !c.route.Idempotent && l.runs > 0 {
-		return false
+		return nil, retryNever
 	}
-	table := c.forwarder.config.Table()
-	if _, ok := c.choose(table, l, now); !ok {
-		return false
+	server, ok := c.choose(l, now)
+	if !ok {
+		if c.mayGetRoom(l, now) {
+			return nil, retryNoRoom
+		}
+		return nil, retryNever
 	}
-	if !c.forwarder.config.Budget.Take(l.service, now, table.Sharers()) {
+	if !c.forwarder.config.Budget.Take(l.service, now, c.forwarder.config.Table().Sharers()) {
 		c.account.Denied++
-		return false
+		return nil, retryNever
 	}
-	return true
+	return server, retryNow
 }
--- a/pollen/pollenforward/plan.go
+++ b/pollen/pollenforward/plan.go
@@ -8,6 +8,8 @@
 
 // Schedule holds the moments at which a request is hedged, sealed and ended.
 type Schedule struct {
+	// Start is when a request that has found no room is refused.
+	Start time.Time
 	// Hedge is when services without an answer are asked once more.
 	Hedge time.Time
 	// Seal is when an answer with enough shards is given without the others.
@@ -36,6 +38,9 @@
 	// ones are answered too late.
 	earliestHedge = 0.08
 	latestHedge   = 0.4
+	// startShare is the share of the objective within which a request is started or refused: a caller that hears so
+	// early enough can still be served in good time when it comes back.
+	startShare = 0.25
 	// endMargin is the share of the time left that is kept for an answer to arrive before the caller leaves, at
 	// most longestEndMargin.
 	endMargin        = 0.02
@@ -67,7 +72,9 @@
 	hedge = min(max(hedge, share(objective, earliestHedge)), share(objective, latestHedge))
 	end := limit - min(share(limit, endMargin), longestEndMargin)
 	seal := min(objective-config.CallerTrip-share(objective, sealMargin), end)
+	start := share(objective, startShare) - config.CallerTrip/2
 	return Schedule{
+		Start: config.Received.Add(max(start, 0)),
 		Hedge: config.Received.Add(hedge),
 		Seal:  config.Received.Add(max(seal, objective/2)),
 		End:   config.Received.Add(end),
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -62,6 +62,9 @@
 	longestEjection = 4 * time.Second
 	// typicalBefore is used for a route's typical latency until the first answer.
 	typicalBefore = 20 * time.Millisecond
+	// busyMemory is the span over which the number of open requests is averaged, to tell how busy other instances
+	// keep a server: long enough for several requests, short against a burst.
+	busyMemory = 200 * time.Millisecond
 )
 
 type server struct {
@@ -72,6 +75,12 @@
 	updated  time.Time
 	answered time.Time
 	open     map[*Permit]struct{}
+	// work is the sum of the open requests' expected latencies; busy and busyWork are the averages of their number
+	// and of that sum, as of busyAt.
+	work     time.Duration
+	busy     float64
+	busyWork float64
+	busyAt   time.Time
 	failures int
 	// ejectedUntil is when the server may be tried again; probing is set while one request does so.
 	ejectedUntil time.Time
@@ -130,6 +139,28 @@
 	return best, found
 }
 
+// Room bounds what is sent to servers.
+type Room struct {
+	// Within is the time in which an answer is wanted.
+	Within time.Duration
+	// Instances is the number of instances that send to the same servers.
+	Instances int
+}
+
+// HasRoom reports whether one more request to a server would be answered within the bound if it ran as quickly as usual
+// on the route: a slow server is no reason to hold a request back, a queue is.
+//
+// Load pattern: more is asked than the servers' slots carry. Other instances are taken to keep a server as busy as this
+// one does on average, so that each of them stops sending before the server's queue delays answers beyond the bound;
+// measured latencies include that queue. An idle server always has room for one request, else its recovery would not
+// be seen.
+func (r *Ranking) HasRoom(route string, candidate *pollencatalog.Server, room Room, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.server(candidate)
+	return len(s.open) == 0 || r.typical(route)+s.wait(candidate.Slots, room.Instances, now) <= room.Within
+}
+
 // Start records that a request of a route is sent to a server.
 func (r *Ranking) Start(route string, candidate *pollencatalog.Server, now time.Time) *Permit {
 	r.mu.Lock()
@@ -137,7 +168,9 @@
 	s := r.server(candidate)
 	p := &Permit{ranking: r, server: s, route: route, started: now}
 	p.expected = time.Duration(float64(r.typical(route)) * s.slownessAt(now))
+	s.countOpen(now)
 	s.open[p] = struct{}{}
+	s.work += p.expected
 	if s.ejectable(now) {
 		s.probing = p
 	}
@@ -203,7 +236,9 @@
 	}
 	p.done = true
 	s := p.server
+	s.countOpen(now)
 	delete(s.open, p)
+	s.work -= p.expected
 	if s.probing == p {
 		s.probing = nil
 	}
@@ -271,6 +306,32 @@
 	return time.Duration(cost) + s.stall(now)
 }
 
+// wait returns how long one more request is expected to wait for a slot.
+func (s *server) wait(slots, instances int, now time.Time) time.Duration {
+	slots = max(slots, 1)
+	others := float64(max(instances-1, 0))
+	busy, busyWork := s.busyNow(now)
+	open := float64(len(s.open)) + others*busy
+	work := float64(s.work) + others*busyWork
+	waiting := open + 1 - float64(slots)
+	if waiting <= 0 || open <= 0 {
+		return 0
+	}
+	return time.Duration(waiting / float64(slots) * work / open)
+}
+
+// countOpen brings the averages of open requests up to date; it is to be called before they change.
+func (s *server) countOpen(now time.Time) {
+	s.busy, s.busyWork = s.busyNow(now)
+	s.busyAt = now
+}
+
+func (s *server) busyNow(now time.Time) (busy, busyWork float64) {
+	open, work := float64(len(s.open)), float64(s.work)
+	kept := math.Exp(-float64(now.Sub(s.busyAt)) / float64(busyMemory))
+	return open + (s.busy-open)*kept, work + (s.busyWork-work)*kept
+}
+
 // stall returns by how much the oldest open request is over its expected latency, zero below the stall factor.
 func (s *server) stall(now time.Time) time.Duration {
 	longest := time.Duration(0)
