Stay within a route's attempts when a server that shed is asked again

Cause: a route with one attempt; the first server shed, the second took the request and stalled, and the hedge went back to the first, which had not run the request and so did not count. Two servers ran it.

--- a/pollen/pollenforward/forward_test.go
+++ b/pollen/pollenforward/forward_test.go
@@ -363,6 +363,23 @@
 	})
 }
 
+// Load pattern: a server sheds a request, and the one that takes it stalls. The hedge must not go back to the first one
+// if the route allows one server only.
+func TestHedgeStaysWithinAttempts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(1, 100)
+		h.preferFirst(0)
+		h.fleet.behaviour["a0"] = behaviour{delay: time.Millisecond, err: &NotRunError{Server: "a0", Status: 503}}
+		h.fleet.behaviour["b0"] = behaviour{hang: true}
+		route := plainRoute(true)
+		route.Attempts = 1
+		_, _, _, err := h.serve(t.Context(), route)
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(h.fleet.sent, qt.DeepEquals, []string{"a0", "b0"})
+	})
+}
+
 func TestCallerGone(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/pollen/pollenforward/leg.go
+++ b/pollen/pollenforward/leg.go
@@ -73,7 +73,9 @@
 		}
 	}
 	if l.servers() >= c.route.Attempts {
+		// Only servers that may have run the request already can be asked without adding one.
 		fresh = nil
+		again = slices.DeleteFunc(again, func(s *pollencatalog.Server) bool { return !l.mayHaveRun(s) })
 	}
 	if server, ok := c.best(table, l, fresh, now); ok {
 		return server, true
@@ -110,6 +112,11 @@
 	return slices.ContainsFunc(l.tried, func(a attempt) bool { return !a.ended && a.server.Incarnation() == server.Incarnation() })
 }
 
+// mayHaveRun reports whether a server may have run a request of the leg or may still do so.
+func (l *leg) mayHaveRun(server *pollencatalog.Server) bool {
+	return slices.ContainsFunc(l.tried, func(a attempt) bool { return !a.notRun && a.server.Incarnation() == server.Incarnation() })
+}
+
 // servers returns the number of servers that may have run a request of the leg or may still do so.
 func (l *leg) servers() int {
 	counted := make([]pollencatalog.Incarnation, 0, len(l.tried))
