Take signals before anything else at the start

Cause: a SIGTERM that arrives in the first milliseconds of a process ended it by the default action, with status 'terminated'.

Change: front takes SIGTERM and SIGHUP before it reads its settings.

--- a/pollen/pollenfakestore/store.go
+++ b/pollen/pollenfakestore/store.go
@@ -58,6 +58,9 @@
 // ErrDown is the cause of a call that failed because of a fault.
 var ErrDown = errors.New("store is down")
 
+// ErrLost is the cause of a call that took effect and whose answer was lost.
+var ErrLost = errors.New("answer was lost")
+
 // SetFaults replaces the faults in force.
 func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
@@ -134,20 +137,45 @@
 		s.deleteLocked(swap.Key)
 		return s.revision, s.lostAnswer("CompareAndSwap")
 	}
-	if swap.Lease != 0 {
-		l, ok := s.leases[swap.Lease]
-		if !ok {
-			return 0, &pollenstore.LeaseGoneError{ID: swap.Lease}
-		}
-		l.keys = append(l.keys, swap.Key)
+	if err := s.putLocked(swap.Key, swap.Value, swap.Lease); err != nil {
+		return 0, err
 	}
-	s.revision++
-	entry := pollenstore.Entry{Key: swap.Key, Value: append([]byte(nil), swap.Value...), Version: s.revision, Lease: swap.Lease}
-	s.entries[swap.Key] = entry
-	s.publishLocked(pollenstore.Event{Entry: entry})
 	return s.revision, s.lostAnswer("CompareAndSwap")
 }
 
+// Put writes one key whatever it held before and returns its new version.
+func (s *Store) Put(ctx context.Context, key string, value []byte, lease uint64) (uint64, error) {
+	if err := s.enter(ctx, "Put"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.putLocked(key, value, lease); err != nil {
+		return 0, err
+	}
+	return s.revision, s.lostAnswer("Put")
+}
+
+// Delete removes one key if it exists.
+func (s *Store) Delete(ctx context.Context, key string) error {
+	if err := s.enter(ctx, "Delete"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deleteLocked(key)
+	return s.lostAnswer("Delete")
+}
+
+// Compact forgets all history, so that watches have to read everything anew.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.oldest = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Grant returns a new lease.
 func (s *Store) Grant(ctx context.Context, duration time.Duration) (pollenstore.Lease, error) {
 	if err := s.enter(ctx, "Grant"); err != nil {
@@ -247,7 +275,7 @@
 
 func (s *Store) lostAnswer(call string) error {
 	if s.faults.LoseAnswers {
-		return &pollenstore.UnavailableError{Call: call, Err: ErrDown}
+		return &pollenstore.UnavailableError{Call: call, Err: ErrLost}
 	}
 	return nil
 }
@@ -297,6 +325,21 @@
 	}
 }
 
+func (s *Store) putLocked(key string, value []byte, lease uint64) error {
+	if lease != 0 {
+		l, ok := s.leases[lease]
+		if !ok {
+			return &pollenstore.LeaseGoneError{ID: lease}
+		}
+		l.keys = append(l.keys, key)
+	}
+	s.revision++
+	entry := pollenstore.Entry{Key: key, Value: append([]byte(nil), value...), Version: s.revision, Lease: lease}
+	s.entries[key] = entry
+	s.publishLocked(pollenstore.Event{Entry: entry})
+	return nil
+}
+
 func (s *Store) deleteLocked(key string) {
 	if _, ok := s.entries[key]; !ok {
 		return
--- a/pollen/pollenfleet/fleet.go
+++ b/pollen/pollenfleet/fleet.go
@@ -101,7 +101,7 @@
 
 // Restart starts the entry instance with the given number again, after its end.
 func (f *Fleet) Restart(n int) error {
-	p, err := start(f.config.Directory, f.Settings[n].Name, f.program("pollenentry"), "serve", f.Settings[n])
+	p, err := StartProcess(f.config.Directory, f.Settings[n].Name, f.program("pollenentry"), "serve", f.Settings[n])
 	if err != nil {
 		return err
 	}
@@ -223,7 +223,7 @@
 		WritesPerSecond: cmp.Or(f.config.StoreWritesPerSecond, storeWritesPerSecond),
 		ReadsPerSecond:  cmp.Or(f.config.StoreReadsPerSecond, storeReadsPerSecond),
 	}
-	p, err := start(f.config.Directory, "store", f.program("pollenstandin"), "store", settings)
+	p, err := StartProcess(f.config.Directory, "store", f.program("pollenstandin"), "store", settings)
 	if err != nil {
 		return err
 	}
@@ -235,7 +235,7 @@
 			Name: settings.Name, PeerAddress: settings.PeerAddress, State: polleninventory.StateLive,
 		})
 	}
-	if p, err = start(f.config.Directory, "inventory", f.program("pollenstandin"), "inventory", inventory); err != nil {
+	if p, err = StartProcess(f.config.Directory, "inventory", f.program("pollenstandin"), "inventory", inventory); err != nil {
 		return err
 	}
 	f.all = append(f.all, p)
@@ -267,7 +267,7 @@
 			ColdTime: pollensettings.Duration(f.config.ColdTime), ColdFactor: coldFactor, Warm: true,
 		})
 	}
-	p, err := start(f.config.Directory, name, f.program("pollenstandin"), "servers", settings)
+	p, err := StartProcess(f.config.Directory, name, f.program("pollenstandin"), "servers", settings)
 	if err != nil {
 		return err
 	}
--- a/pollen/pollenfleet/process.go
+++ b/pollen/pollenfleet/process.go
@@ -28,8 +28,8 @@
 
 func (e *StartError) Unwrap() error { return e.Err }
 
-// start writes the settings to a file and starts a program with them; its output goes to a log file.
-func start(directory, name, program, subcommand string, settings any) (*Process, error) {
+// StartProcess writes the settings to a file and starts a program with them; its output goes to a log file.
+func StartProcess(directory, name, program, subcommand string, settings any) (*Process, error) {
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return nil, &StartError{Name: name, Err: err}
--- a/pollenbench/main.go
+++ b/pollenbench/main.go
@@ -28,6 +28,7 @@
 			},
 			Run: func(ctx context.Context, _ []string) error { return runDemo(ctx, programs, firm, seed) },
 		},
+		soakCommand(),
 		&pollencommand.Command{
 			CommandName: "experiment",
 			Summary:     "run named experiments, each beside its baseline",
--- /dev/null
+++ b/pollenbench/soak.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"pollenline.example/pollen/pollencommand"
+	"pollenline.example/pollenbench/pollensoak"
+)
+
+const (
+	soakInstances = 4
+	soakCallers   = 12
+	soakDuration  = 10 * time.Second
+)
+
+// soakFlags are the choices of the soak command.
+type soakFlags struct {
+	programs string
+	logs     string
+	only     string
+	seed     uint64
+	seeds    int
+	parallel int
+	quiet    bool
+	config   pollensoak.Config
+}
+
+func soakCommand() *pollencommand.Command {
+	choices := &soakFlags{}
+	return &pollencommand.Command{
+		CommandName: "soak",
+		Summary:     "run entry instances under random faults and check the promises",
+		Help: "soak -programs DIRECTORY [-seed N] [-seeds COUNT] [-duration D] [-only LIST]\n\nStarts entry instances as processes, injects faults from outside " +
+			"them, and checks what callers and backend servers see. Exits with status 1 if a promise was broken.\n\nFaults:\n" + pollensoak.Describe(),
+		Flags: choices.set,
+		Run:   func(ctx context.Context, _ []string) error { return choices.run(pollencommand.UntilSignal(ctx)) },
+	}
+}
+
+func (s *soakFlags) set(f *flag.FlagSet) {
+	f.StringVar(&s.programs, "programs", "bin", "`directory` of the built programs")
+	f.StringVar(&s.logs, "logs", "", "`directory` of settings and logs (default a temporary one)")
+	f.StringVar(&s.only, "only", "", "kinds of faults to draw from, as a `list` with commas (default all)")
+	f.Uint64Var(&s.seed, "seed", 1, "first seed")
+	f.IntVar(&s.seeds, "seeds", 1, "number of seeds")
+	f.IntVar(&s.parallel, "parallel", 1, "runs at a time")
+	f.BoolVar(&s.quiet, "quiet", false, "leave out the lines of single faults")
+	f.DurationVar(&s.config.Duration, "duration", soakDuration, "how long faults may begin")
+	f.IntVar(&s.config.Instances, "instances", soakInstances, "entry instances")
+	f.IntVar(&s.config.Callers, "callers", soakCallers, "callers")
+}
+
+// SoakError reports seeds that broke a promise.
+type SoakError struct {
+	Seeds []uint64
+}
+
+func (e *SoakError) Error() string { return fmt.Sprintf("promises were broken with seeds %v", e.Seeds) }
+
+func (s *soakFlags) run(ctx context.Context) error {
+	s.config.Program = filepath.Join(s.programs, "pollenentry")
+	s.config.Directory, s.config.Output = s.logs, io.Writer(os.Stdout)
+	if s.quiet {
+		s.config.Output = io.Discard
+	}
+	if s.only != "" {
+		s.config.Only = strings.Split(s.only, ",")
+	}
+	if s.logs == "" {
+		directory, err := os.MkdirTemp("", "pollenline-soak-")
+		if err != nil {
+			return fmt.Errorf("directory: %w", err)
+		}
+		s.config.Directory = directory
+	}
+	fmt.Printf("settings and logs in %s\n", s.config.Directory)
+	return s.all(ctx)
+}
+
+// all plays the seeds, some at a time.
+func (s *soakFlags) all(ctx context.Context) error {
+	var mu sync.Mutex
+	var broken SoakError
+	var failed error
+	var runs sync.WaitGroup
+	places := make(chan struct{}, max(1, s.parallel))
+	for n := range s.seeds {
+		places <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-places }()
+			config := s.config
+			config.Seed = s.seed + uint64(n)
+			report, err := pollensoak.Run(ctx, config)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = err
+				return
+			}
+			printSoak(report)
+			if len(report.Violations) > 0 {
+				broken.Seeds = append(broken.Seeds, config.Seed)
+			}
+		})
+	}
+	runs.Wait()
+	if failed == nil && len(broken.Seeds) > 0 {
+		return &broken
+	}
+	return failed
+}
+
+// mostViolations bounds what is printed for one seed.
+const mostViolations = 10
+
+func printSoak(report *pollensoak.Report) {
+	fmt.Printf("seed %d: %d requests, %d served, %d runs on servers, %d violations; faults: %s\n", report.Seed, report.Requests, report.Served,
+		report.Runs, len(report.Violations), strings.Join(report.Faults, " "))
+	for n, v := range report.Violations {
+		if n == mostViolations {
+			fmt.Printf("  and %d more\n", len(report.Violations)-n)
+			break
+		}
+		fmt.Printf("  %s\n", v)
+	}
+}
--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -57,6 +57,8 @@
 const settingsVariable = "POLLENLINE_CONFIG"
 
 func front(ctx context.Context, file string) error {
+	// Signals are taken before anything else: one that arrives during the start would end the process.
+	ctx = pollencommand.UntilSignal(ctx)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	if path := os.Getenv(settingsVariable); path != "" {
@@ -72,7 +74,6 @@
 	if err != nil {
 		return err
 	}
-	ctx = pollencommand.UntilSignal(ctx)
 	go pollensettings.Follow(ctx, pollensettings.FollowConfig{
 		File: file, Interval: reloadInterval, Signals: hangups,
 		Apply: func(data []byte) error {
