--- a/pollenbench/pollensoak/world.go
+++ b/pollenbench/pollensoak/world.go
@@ -300,7 +300,7 @@
 	query, plainX, movingRoute, once := plain, plain, plain, plain
 	query.Name, query.Prefix, query.Shards, query.Top, query.Coverage = "query", pathQuery, w.shards(w.generation), 5, 0.75
 	plainX.Name, plainX.Prefix, plainX.Service = "plain", pathPlain, plainServices[0]
-	movingRoute.Name, movingRoute.Prefix, movingRoute.Service = "moving", pathMoving, moving
+	movingRoute.Name, movingRoute.Prefix, movingRoute.Service, movingRoute.Attempts = "moving", pathMoving, moving, 1
 	once.Name, once.Prefix, once.Service, once.Idempotent = "once", pathOnce, plainServices[1], false
 	services := append(w.shards(w.generation), plainServices...)
 	return pollenstage.Configuration{
