Leave servers out that are silent

Cause: a server that can't be reached and whose connections stay open ends no request; what ends are the requests' own deadlines, which said nothing about the server.

Change: a request without an answer after eight times its expected latency, and half a second at least, counts as a failure if the server has answered nothing since; several that are open like that leave the server out. A query that lacks too many shards is then refused at once.

--- a/pollen/pollenforward/forward_test.go
+++ b/pollen/pollenforward/forward_test.go
@@ -323,6 +323,50 @@
 	})
 }
 
+// Load pattern: the instance is cut off from all servers of several shards; connections stay open and nothing comes
+// back. Queries that can't reach their coverage must be refused at once, not held until their end, and served again when
+// the servers answer.
+func TestRefusesWhereShardsAreSilent(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(8, 100)
+		cut := func(b behaviour) {
+			for i := range 3 {
+				h.setAll(i, b)
+			}
+		}
+		cut(behaviour{hang: true})
+		ask := func(wait time.Duration) (refusals, answers int) {
+			var mu sync.Mutex
+			var open sync.WaitGroup
+			for until := time.Now().Add(wait); time.Now().Before(until); time.Sleep(80 * time.Millisecond) {
+				open.Go(func() {
+					_, _, took, err := h.serve(t.Context(), shardedRoute(8))
+					mu.Lock()
+					defer mu.Unlock()
+					var refused *RefusedError
+					if errors.As(err, &refused) && took == 0 {
+						refusals++
+					}
+					if err == nil {
+						answers++
+					}
+				})
+			}
+			open.Wait()
+			return refusals, answers
+		}
+		_, answers := ask(1500 * time.Millisecond)
+		c.Assert(answers, qt.Equals, 0)
+		refusals, _ := ask(2 * time.Second)
+		c.Assert(refusals >= 15, qt.IsTrue, qt.Commentf("%d of 25 refused at once", refusals))
+		cut(behaviour{delay: 10 * time.Millisecond})
+		ask(5 * time.Second)
+		_, answers = ask(2 * time.Second)
+		c.Assert(answers, qt.Equals, 25)
+	})
+}
+
 // Load pattern: servers fail on every request. Extra requests must stay within the budget.
 func TestBudgetBoundsRetries(t *testing.T) {
 	bubble(t, func(t *testing.T) {
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -60,6 +60,10 @@
 	// firstEjection and longestEjection bound how long a failing server is left out; it doubles in between.
 	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
+	// A request is taken as lost in silence if it has got no answer after silenceFactor times its expected latency and
+	// silenceAfter at least, and the server has answered nothing since it was sent. Pauses of servers are shorter.
+	silenceFactor = 8
+	silenceAfter  = 500 * time.Millisecond
 	// typicalBefore is used for a route's typical latency until the first answer.
 	typicalBefore = 20 * time.Millisecond
 	// busyMemory is the span over which the number of open requests is averaged, to tell how busy other instances
@@ -261,6 +265,9 @@
 		if latency > p.expected {
 			r.learn(p, latency, now)
 		}
+		if p.silent(now) {
+			s.fail(now)
+		}
 	}
 	s.updated = now
 }
@@ -354,13 +361,36 @@
 	return math.Exp(-float64(now.Sub(s.updated)) / float64(forgetting))
 }
 
+// leftOut reports whether the server gets no requests.
+//
+// Load pattern: servers can't be reached and their connections stay open. Requests end in nothing after a second or more;
+// several that are open in silence count like as many failures.
 func (s *server) leftOut(now time.Time) bool {
 	if !s.ejectable(now) {
-		return false
+		return s.silences(now) >= ejectionFailures
 	}
 	return s.probing != nil || now.Before(s.ejectedUntil)
 }
 
+// silences returns the number of open requests that are lost in silence.
+func (s *server) silences(now time.Time) int {
+	if len(s.open) < ejectionFailures {
+		return 0
+	}
+	count := 0
+	for p := range s.open {
+		if p.silent(now) {
+			count++
+		}
+	}
+	return count
+}
+
+func (p *Permit) silent(now time.Time) bool {
+	age := now.Sub(p.started)
+	return age >= max(silenceAfter, silenceFactor*p.expected) && p.server.answered.Before(p.started)
+}
+
 // gone leaves the server out until its entry goes, but for rare probes: the requests to its address reach a server of
 // another service and count as extra ones there.
 func (s *server) gone(now time.Time) {
--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -118,17 +120,19 @@
 	return failed
 }
 
-// mostViolations bounds what is printed for one seed.
-const mostViolations = 10
+// mostViolations bounds what is printed for one promise of one seed.
+const mostViolations = 3
 
 func printSoak(report *pollensoak.Report) {
 	fmt.Printf("seed %d: %d requests, %d served, %d runs on servers, %d violations; faults: %s\n", report.Seed, report.Requests, report.Served,
 		report.Runs, len(report.Violations), strings.Join(report.Faults, " "))
-	for n, v := range report.Violations {
-		if n == mostViolations {
-			fmt.Printf("  and %d more\n", len(report.Violations)-n)
-			break
+	count := make(map[string]int)
+	for _, v := range report.Violations {
+		if count[v.Promise]++; count[v.Promise] <= mostViolations {
+			fmt.Printf("  %s\n", v)
 		}
-		fmt.Printf("  %s\n", v)
+	}
+	for _, promise := range slices.Sorted(maps.Keys(count)) {
+		fmt.Printf("  %s broken %d times\n", promise, count[promise])
 	}
 }
