--- a/pollen/pollenfollow/follow.go
+++ b/pollen/pollenfollow/follow.go
@@ -49,13 +49,16 @@
 	// firstDelay and longestDelay bound the time between two tries while the store does not answer.
 	firstDelay   = 100 * time.Millisecond
 	longestDelay = time.Second
+	// longestBlindDelay is that bound before anything is known: callers are refused meanwhile, and the first call is
+	// a cheap one.
+	longestBlindDelay = 250 * time.Millisecond
 )
 
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	list := f.first
+	list, longest := f.first, longestBlindDelay
 	for ctx.Err() == nil {
-		listing, err := retry(ctx, f.failed, func() (pollenstore.Listing, error) { return list(ctx) })
+		listing, err := retry(ctx, longest, f.failed, func() (pollenstore.Listing, error) { return list(ctx) })
 		if err != nil {
 			return
 		}
@@ -63,6 +66,7 @@
 		f.config.Post(pollenview.Listed{Listing: listing})
 		f.watch(ctx, listing.Revision)
 		list = func(ctx context.Context) (pollenstore.Listing, error) { return f.config.Reader.List(ctx, "") }
+		longest = longestDelay
 	}
 }
 
@@ -117,7 +121,7 @@
 func (f *Follower) watch(ctx context.Context, after uint64) {
 	var compacted *pollenstore.CompactedError
 	for ctx.Err() == nil {
-		changes, err := retry(ctx, f.failed, func() (pollenstore.Changes, error) { return f.watchOnce(ctx, after) })
+		changes, err := retry(ctx, longestDelay, f.failed, func() (pollenstore.Changes, error) { return f.watchOnce(ctx, after) })
 		if errors.As(err, &compacted) {
 			klog.InfoS("Store history is gone, reading all keys", "after", after)
 			return
@@ -169,9 +173,9 @@
 }
 
 // retry calls until there is an answer, the history is gone or ctx is done; delays grow and vary between instances.
-func retry[T any](ctx context.Context, failed func(error), call func() (T, error)) (T, error) {
+func retry[T any](ctx context.Context, longest time.Duration, failed func(error), call func() (T, error)) (T, error) {
 	var compacted *pollenstore.CompactedError
-	for delay := firstDelay; ; delay = min(2*delay, longestDelay) {
+	for delay := firstDelay; ; delay = min(2*delay, longest) {
 		answer, err := call()
 		if err == nil || errors.As(err, &compacted) {
 			return answer, err
--- a/pollen/pollenfollow/follow_test.go
+++ b/pollen/pollenfollow/follow_test.go
@@ -136,6 +136,57 @@
 	}
 }
 
+// Load pattern: instances start while the store is down. Nothing can be served until it is back, so they must notice its
+// return sooner than those that go on with what they have.
+func TestStartNoticesReturnOfStore(t *testing.T) {
+	for outage := 500 * time.Millisecond; outage < 8*time.Second; outage += 700 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			begun := time.Now()
+			listed := make(chan time.Duration, 1)
+			reader := &returningStore{back: begun.Add(outage)}
+			f := NewFollower(FollowerConfig{Reader: reader, Wait: time.Second, Post: func(m any) {
+				if kind(m) == "listed" {
+					listed <- time.Since(begun)
+				}
+			}})
+			ctx, cancel := context.WithCancel(t.Context())
+			go f.Run(ctx)
+			late := <-listed - outage
+			cancel()
+			synctest.Wait()
+			qt.Check(t, late <= 250*time.Millisecond, qt.IsTrue, qt.Commentf("%v after an outage of %v", late, outage))
+			qt.Check(t, reader.calls <= 2+int(outage/(100*time.Millisecond)), qt.IsTrue, qt.Commentf("%d calls in %v", reader.calls, outage))
+		})
+	}
+}
+
+// returningStore refuses all calls until it is back.
+type returningStore struct {
+	back  time.Time
+	calls int
+}
+
+func (s *returningStore) answer() error {
+	s.calls++
+	if time.Now().Before(s.back) {
+		return errDown
+	}
+	return nil
+}
+
+func (s *returningStore) ListStale(context.Context, string) (pollenstore.Listing, error) {
+	return pollenstore.Listing{Revision: 1}, s.answer()
+}
+
+func (s *returningStore) List(context.Context, string) (pollenstore.Listing, error) {
+	return pollenstore.Listing{Revision: 1}, s.answer()
+}
+
+func (s *returningStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (pollenstore.Changes, error) {
+	sleep(ctx, wait)
+	return pollenstore.Changes{Revision: 1}, s.answer()
+}
+
 func kind(message any) string {
 	switch message.(type) {
 	case pollenview.Listed:
