Remember refused connections after the last one is gone

Cause: a server that resets a new connection, because it has too many, is to be left alone for 200 ms; the pool forgot that when the connection was its only one to the server, and opened the next one at once. Found by reading.

Change: a server's state is kept until its pause is over.

--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -172,7 +172,10 @@
 	now := time.Now()
 	var spare []*Conn
 	p.mu.Lock()
-	for _, h := range p.hosts {
+	for address, h := range p.hosts {
+		if h.unused(now) {
+			delete(p.hosts, address)
+		}
 		// The longest idle connections come first.
 		for len(h.idle) > 1 && now.Sub(h.idle[0].since) > spareIdle {
 			spare = append(spare, h.idle[0])
@@ -288,11 +291,16 @@
 		return
 	}
 	h.open--
-	if h.open == 0 && len(h.idle) == 0 {
+	if h.unused(time.Now()) {
 		delete(p.hosts, address)
 	}
 }
 
+// unused reports whether nothing needs to be remembered of a server.
+func (h *host) unused(now time.Time) bool {
+	return h.open == 0 && len(h.idle) == 0 && len(h.waiting) == 0 && !now.Before(h.refusedUntil)
+}
+
 func (p *Pool) host(address netip.AddrPort) *host {
 	h, ok := p.hosts[address]
 	if !ok {
