--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 FIRM ?= vunivalu
 SECONDS ?= 60
+SEEDS ?= 10
+SEED ?= 1
 
-.PHONY: build test check demo proof measure slopes mutations generate
+.PHONY: build test check demo soak proof measure slopes mutations generate
 
 build:
 	@mkdir -p bin
@@ -20,6 +22,9 @@
 demo: build
 	bin/pollenbench demo -programs bin -firm $(FIRM)
 
+soak: build
+	bin/pollenbench soak -programs bin -quiet -parallel 2 -seeds $(SEEDS) -seed $(SEED)
+
 proof:
 	@mkdir -p bin
 	@cd pollen && go test ./pollentrial -run TestInvariant -timeout 0 -proof.seconds=$$(($(SECONDS)/10)) -rapid.seed=$$(date +%s) -v > ../bin/proof.log 2>&1; \
@@ -34,6 +39,7 @@
 
 mutations:
 	scripts/mutations
+	scripts/soak-mutations
 
 generate:
 	cd pollen && go run github.com/bufbuild/buf/cmd/buf@v1.75.0 generate
--- /dev/null
+++ b/pollenbench/pollensoak/soak_test.go
@@ -0,0 +1,75 @@
+package pollensoak
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A short run of real processes with a fixed seed; longer ones are played by pollenbench soak.
+func TestShortRun(t *testing.T) {
+	c := qt.New(t)
+	var output bytes.Buffer
+	report, err := Run(t.Context(), Config{
+		Program: program(t), Directory: t.TempDir(), Seed: 3, Duration: 3 * time.Second, Instances: 3, Callers: 6, Output: &output,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(report.Violations, qt.HasLen, 0, qt.Commentf("%v\n%s", report.Violations, output.String()))
+	c.Assert(report.Served > 0, qt.IsTrue)
+	c.Assert(len(report.Faults) > 1, qt.IsTrue)
+}
+
+// program returns the path of the instances' program, which is built if nobody has.
+func program(t *testing.T) string {
+	if directory := os.Getenv("POLLEN_PROGRAMS"); directory != "" {
+		return filepath.Join(directory, "pollenentry")
+	}
+	file := filepath.Join(t.TempDir(), "pollenentry")
+	build := exec.Command("go", "build", "-o", file, ".")
+	build.Dir = filepath.Join("..", "..", "pollenentry")
+	output, err := build.CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
+	return file
+}
+
+func TestPlanFollowsSeed(t *testing.T) {
+	c := qt.New(t)
+	names := func(seed uint64) (names []string) {
+		plan, err := newPlan(Config{Seed: seed, Duration: 10 * time.Second})
+		c.Assert(err, qt.IsNil)
+		for _, e := range plan {
+			names = append(names, e.at.String()+e.lasts.String()+e.fault.name)
+		}
+		return names
+	}
+	c.Assert(names(1), qt.DeepEquals, names(1))
+	c.Assert(names(1), qt.Not(qt.DeepEquals), names(2))
+	_, err := newPlan(Config{Only: []string{"nothing"}})
+	c.Assert(err, qt.ErrorAs, new(*UnknownFaultError))
+}
+
+func TestRegressionsNamePromises(t *testing.T) {
+	c := qt.New(t)
+	regressions, err := Regressions()
+	c.Assert(err, qt.IsNil)
+	known := make(map[string]bool)
+	for _, p := range promises {
+		known[p.name] = true
+	}
+	for _, r := range regressions {
+		c.Check(known[r.Promise] && r.Cause != "", qt.IsTrue, qt.Commentf("%v", r))
+	}
+}
+
+// Each promise has a mutation that the soak must catch.
+func TestMutationsCoverPromises(t *testing.T) {
+	for _, p := range promises {
+		_, err := os.Stat(filepath.Join("testdata", "mutations", p.name+".patch"))
+		qt.Check(t, err, qt.IsNil)
+	}
+}
--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -32,6 +32,7 @@
 	seeds    int
 	parallel int
 	quiet    bool
+	again    bool
 	config   pollensoak.Config
 }
 
@@ -40,7 +41,7 @@
 	return &pollencommand.Command{
 		CommandName: "soak",
 		Summary:     "run entry instances under random faults and check the promises",
-		Help: "soak -programs DIRECTORY [-seed N] [-seeds COUNT] [-duration D] [-only LIST]\n\nStarts entry instances as processes, injects faults from outside " +
+		Help: "soak -programs DIRECTORY [-seed N] [-seeds COUNT] [-regressions] [-duration D] [-only LIST]\n\nStarts entry instances as processes, injects faults from outside " +
 			"them, and checks what callers and backend servers see. Exits with status 1 if a promise was broken.\n\nFaults:\n" + pollensoak.Describe(),
 		Flags: choices.set,
 		Run:   func(ctx context.Context, _ []string) error { return choices.run(pollencommand.UntilSignal(ctx)) },
@@ -55,6 +56,7 @@
 	f.IntVar(&s.seeds, "seeds", 1, "number of seeds")
 	f.IntVar(&s.parallel, "parallel", 1, "runs at a time")
 	f.BoolVar(&s.quiet, "quiet", false, "leave out the lines of single faults")
+	f.BoolVar(&s.again, "regressions", false, "play the recorded seeds that have failed once")
 	f.DurationVar(&s.config.Duration, "duration", soakDuration, "how long faults may begin")
 	f.IntVar(&s.config.Instances, "instances", soakInstances, "entry instances")
 	f.IntVar(&s.config.Callers, "callers", soakCallers, "callers")
@@ -84,22 +86,43 @@
 		s.config.Directory = directory
 	}
 	fmt.Printf("settings and logs in %s\n", s.config.Directory)
-	return s.all(ctx)
+	seeds, err := s.chosen()
+	if err != nil {
+		return err
+	}
+	return s.all(ctx, seeds)
+}
+
+// chosen returns the seeds to play.
+func (s *soakFlags) chosen() ([]uint64, error) {
+	var seeds []uint64
+	if !s.again {
+		for n := range s.seeds {
+			seeds = append(seeds, s.seed+uint64(n))
+		}
+		return seeds, nil
+	}
+	regressions, err := pollensoak.Regressions()
+	for _, r := range regressions {
+		seeds = append(seeds, r.Seed)
+	}
+	slices.Sort(seeds)
+	return slices.Compact(seeds), err
 }
 
-// all plays the seeds, some at a time.
-func (s *soakFlags) all(ctx context.Context) error {
+// all plays seeds, some at a time.
+func (s *soakFlags) all(ctx context.Context, seeds []uint64) error {
 	var mu sync.Mutex
 	var broken SoakError
 	var failed error
 	var runs sync.WaitGroup
 	places := make(chan struct{}, max(1, s.parallel))
-	for n := range s.seeds {
+	for _, seed := range seeds {
 		places <- struct{}{}
 		runs.Go(func() {
 			defer func() { <-places }()
 			config := s.config
-			config.Seed = s.seed + uint64(n)
+			config.Seed = seed
 			report, err := pollensoak.Run(ctx, config)
 			mu.Lock()
 			defer mu.Unlock()
