Let callers that come back wait behind others instead of refusing them again

Cause: a refused caller comes back once.

Change: a caller that states clearly less patience than is usual on its route has come back. Its request waits behind those that ask for the first time, for 0.45 of the time that it has left, and takes room that is left over. Hedges count from the start of a request, not from its arrival.

--- a/pollen/pollenadmit/line.go
+++ b/pollen/pollenadmit/line.go
@@ -1,7 +1,6 @@
 package pollenadmit
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -15,8 +14,16 @@
 	Priority int
 	// Arrived is when the request was received.
 	Arrived time.Time
+	// Key stands for the servers that the request needs: if one request finds no room, the next with the same key is
+	// not offered any.
+	Key string
 	// Until is when it is turned away.
 	Until time.Time
+	// Returned is set for a request whose caller was sent away before and has come back. It waits behind all others.
+	//
+	// Load pattern: callers that were sent away come back while the servers are still full. They will not come once
+	// more, so a late answer is better than none, as long as it takes nothing from those that can be answered in time.
+	Returned bool
 	// Start begins the request if there is room and reports whether it has. The line calls it for one request at a
 	// time, so that room that one request has taken is seen by the next.
 	Start func(now time.Time) bool
@@ -77,11 +84,16 @@
 // Waiting returns the number of requests in the line.
 func (l *Line) Waiting() int { return int(l.length.Load()) }
 
-// start offers room to each request in order. One that finds none does not hold up those behind it, which may need
-// other servers.
+// start offers room to each request in order. One that finds none does not hold up those behind it that need other
+// servers.
 func (l *Line) start(now time.Time) {
+	var full []string
 	l.waiting = slices.DeleteFunc(l.waiting, func(e *entry) bool {
+		if slices.Contains(full, e.request.Key) {
+			return false
+		}
 		if !e.request.Start(now) {
+			full = append(full, e.request.Key)
 			return false
 		}
 		close(e.started)
@@ -101,7 +113,13 @@
 }
 
 func compareEntries(a, b *entry) int {
-	return cmp.Compare(a.turn().UnixNano(), b.turn().UnixNano())
+	switch {
+	case a.request.Returned && !b.request.Returned:
+		return 1
+	case b.request.Returned && !a.request.Returned:
+		return -1
+	}
+	return a.turn().Compare(b.turn())
 }
 
 // turn is the time of arrival, put back by rankAhead for each rank.
--- a/pollen/pollenadmit/line_test.go
+++ b/pollen/pollenadmit/line_test.go
@@ -35,15 +35,17 @@
 		name     string
 		after    time.Duration
 		priority int
+		returned bool
 	}
 	tests := []struct {
 		name     string
 		arrivals []arrival
 		want     []string
 	}{
-		{"arrival", []arrival{{"a", 0, 1}, {"b", time.Millisecond, 1}}, []string{"a", "b"}},
-		{"urgent first", []arrival{{"a", 0, 2}, {"b", time.Millisecond, 1}, {"c", 2 * time.Millisecond, 0}}, []string{"c", "b", "a"}},
-		{"not starved", []arrival{{"a", 0, 1}, {"b", 2 * rankAhead, 0}}, []string{"a", "b"}},
+		{"arrival", []arrival{{"a", 0, 1, false}, {"b", time.Millisecond, 1, false}}, []string{"a", "b"}},
+		{"urgent first", []arrival{{"a", 0, 2, false}, {"b", time.Millisecond, 1, false}, {"c", 2 * time.Millisecond, 0, false}}, []string{"c", "b", "a"}},
+		{"returned behind others", []arrival{{"a", 0, 0, true}, {"b", 3 * rankAhead, 2, false}}, []string{"b", "a"}},
+		{"not starved", []arrival{{"a", 0, 1, false}, {"b", 2 * rankAhead, 0, false}}, []string{"a", "b"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -54,7 +56,7 @@
 				for _, a := range test.arrivals {
 					time.Sleep(time.Until(begun.Add(a.after)))
 					open.Go(func() {
-						request := Request{Priority: a.priority, Arrived: time.Now(), Until: begun.Add(time.Second), Start: r.start(a.name)}
+						request := Request{Priority: a.priority, Returned: a.returned, Arrived: time.Now(), Until: begun.Add(time.Second), Start: r.start(a.name)}
 						qt.Check(t, line.Enter(t.Context(), request), qt.IsTrue)
 					})
 					synctest.Wait()
@@ -98,7 +100,7 @@
 		c := qt.New(t)
 		line, full, free := &Line{}, &room{}, &room{free: 1}
 		until := time.Now().Add(time.Second)
-		go line.Enter(t.Context(), Request{Arrived: time.Now(), Until: until, Start: full.start("a")})
+		go line.Enter(t.Context(), Request{Key: "full", Arrived: time.Now(), Until: until, Start: full.start("a")})
 		synctest.Wait()
 		c.Assert(line.Enter(t.Context(), Request{Arrived: time.Now(), Until: until, Start: free.start("b")}), qt.IsTrue)
 		c.Assert(fmt.Sprint(full.order, free.order), qt.Equals, "[] [b]")
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -26,6 +26,8 @@
 	sending   context.Context
 	covered   int
 	hedged    bool
+	// returned is set if the caller was sent away before.
+	returned bool
 	// ran is set once a server may have run the request.
 	ran bool
 	// failure is the newest answer that reports a failure with the server's signature.
@@ -91,9 +93,11 @@
 		}
 	}
 	started := c.forwarder.line.Enter(ctx, pollenadmit.Request{
-		Priority: c.route.Priority, Arrived: c.request.Received, Until: c.schedule.Start, Start: c.start,
+		Priority: c.route.Priority, Key: c.route.Name, Arrived: c.request.Received, Start: c.start,
+		Until: c.schedule.lastStart(c.returned), Returned: c.returned,
 	})
-	c.account.Waited = time.Since(now)
+	c.account.Returned, c.account.Waited = c.returned, time.Since(now)
+	c.schedule.Hedge = c.schedule.Hedge.Add(c.account.Waited)
 	switch {
 	case started:
 		return nil
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -34,6 +34,8 @@
 	config  Config
 	started time.Time
 	line    pollenadmit.Line
+	// patience tells callers that have come back.
+	patience patienceTracker
 }
 
 // New returns a Forwarder.
@@ -62,8 +64,9 @@
 			Route: route, Received: request.Received, Patience: request.Patience,
 			CallerTrip: f.config.CallerTrip, Typical: f.config.Ranking.Typical(route.Name, 1-hedgeShare*f.config.Budget.Ratio()),
 		}),
-		legs:    make([]leg, len(services)),
-		results: make(chan result, len(services)*(route.Attempts+spareSends)),
+		returned: f.patience.returned(route.Name, request.Patience, request.Received),
+		legs:     make([]leg, len(services)),
+		results:  make(chan result, len(services)*(route.Attempts+spareSends)),
 	}
 	for i, service := range services {
 		c.legs[i].service = service
@@ -96,8 +99,9 @@
 	Covered int
 	// Sends counts requests to servers; Hedges and Retries are among them.
 	Sends, Hedges, Retries int
-	// Waited is how long the request waited for room.
-	Waited time.Duration
+	// Returned is set if the caller was sent away before, and Waited is how long the request waited for room.
+	Returned bool
+	Waited   time.Duration
 	// Refusals counts servers that did not run the request, Failures those without a usable answer.
 	Refusals, Failures int
 	// Denied counts retries and hedges that the budget did not allow.
--- a/pollen/pollenforward/overload_test.go
+++ b/pollen/pollenforward/overload_test.go
@@ -88,9 +88,11 @@
 	forwarders []*Forwarder
 	mu         sync.Mutex
 	inTime     int
-	late       int
-	refused    int
-	failed     int
+	// returned counts callers that were answered in time once they had come back.
+	returned int
+	late     int
+	refused  int
+	failed   int
 	// slowRefusal is the longest time until a refusal.
 	slowRefusal time.Duration
 }
@@ -100,6 +102,7 @@
 	crowdShards    = 20
 	crowdWork      = 15 * time.Millisecond
 	crowdSlots     = 2
+	crowdPatience  = 2 * time.Second
 )
 
 func newCrowd(seed uint64, slow func(server int) bool) *crowd {
@@ -140,30 +143,38 @@
 
 func crowdRoute() *pollencatalog.Route {
 	r := shardedRoute(crowdShards)
-	r.Objective, r.Timeout, r.MinimumCoverage = 150*time.Millisecond, 2*time.Second, 0.89
+	r.Objective, r.Timeout, r.MinimumCoverage = 150*time.Millisecond, crowdPatience, 0.89
 	return r
 }
 
 // press sends requests at a rate for some time, to all instances alike, and waits for the last of them.
-func (w *crowd) press(t *testing.T, seed uint64, perSecond float64, duration time.Duration) {
+// Callers that are refused come back once if returns is set.
+func (w *crowd) press(t *testing.T, seed uint64, perSecond float64, duration time.Duration, returns bool) {
 	random := rand.New(rand.NewPCG(seed, 9))
 	route := crowdRoute()
 	var open sync.WaitGroup
 	for until := time.Now().Add(duration); time.Now().Before(until); {
 		forwarder := w.forwarders[random.IntN(len(w.forwarders))]
 		open.Go(func() {
-			begun := time.Now()
-			_, _, err := forwarder.Serve(t.Context(), route, &Request{ID: "r", Received: begun, Patience: 2 * time.Second})
-			w.record(route, time.Since(begun), err)
+			begun, came := time.Now(), time.Now()
+			_, _, err := forwarder.Serve(t.Context(), route, &Request{ID: "r", Received: begun, Patience: crowdPatience})
+			var refused *RefusedError
+			if returns && errors.As(err, &refused) {
+				time.Sleep(refused.RetryAfter)
+				came = time.Now()
+				_, _, err = forwarder.Serve(t.Context(), route, &Request{ID: "r", Received: came, Patience: crowdPatience - came.Sub(begun)})
+			}
+			w.record(route, begun, came, err)
 		})
 		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
 	}
 	open.Wait()
 }
 
-func (w *crowd) record(route *pollencatalog.Route, took time.Duration, err error) {
+func (w *crowd) record(route *pollencatalog.Route, begun, came time.Time, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	took := time.Since(begun)
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
@@ -173,6 +184,8 @@
 		w.failed++
 	case took <= route.Objective:
 		w.inTime++
+	case time.Since(came) <= route.Objective:
+		w.returned++
 	default:
 		w.late++
 	}
@@ -206,9 +219,9 @@
 				c := qt.New(t)
 				w := newCrowd(1, test.slow)
 				const duration = 2 * time.Second
-				w.press(t, 2, capacity/3, time.Second)
+				w.press(t, 2, capacity/3, time.Second, false)
 				w.inTime, w.late, w.refused, w.failed = 0, 0, 0, 0
-				w.press(t, 3, test.load, duration)
+				w.press(t, 3, test.load, duration, false)
 				want := test.share * min(test.load, test.capacity) * duration.Seconds()
 				seen := qt.Commentf("%d in time of %.0f wanted, %d late, %d refused, %d failed", w.inTime, want, w.late, w.refused, w.failed)
 				c.Check(float64(w.inTime) >= want, qt.IsTrue, seen)
@@ -220,3 +233,27 @@
 		})
 	}
 }
+
+// Load pattern: a short burst sends many callers away, who come back together with others. They come once only, so they
+// must be served, late if need be, and take nothing from those that ask for the first time.
+func TestCallersComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newCrowd(1, func(int) bool { return false })
+		capacity := 2 * crowdSlots / crowdWork.Seconds()
+		w.press(t, 2, capacity/3, time.Second, true)
+		w.inTime, w.returned, w.late, w.refused, w.failed = 0, 0, 0, 0, 0
+		begun := time.Now()
+		var burst sync.WaitGroup
+		burst.Go(func() { w.press(t, 3, 2*capacity, 400*time.Millisecond, true) })
+		w.press(t, 4, 0.3*capacity, 4*time.Second, true)
+		burst.Wait()
+		asked := w.inTime + w.returned + w.late + w.refused + w.failed
+		seen := qt.Commentf("%d in time, %d in time on return, %d late, %d refused, %d failed in %v", w.inTime, w.returned, w.late, w.refused, w.failed, time.Since(begun))
+		t.Log(seen)
+		// The servers have time for everybody after the burst.
+		c.Check(w.refused <= asked/50, qt.IsTrue, seen)
+		c.Check(w.failed <= asked/20, qt.IsTrue, seen)
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/pollen/pollenforward/plan.go
+++ b/pollen/pollenforward/plan.go
@@ -10,6 +10,8 @@
 type Schedule struct {
 	// Start is when a request that has found no room is refused.
 	Start time.Time
+	// Last is that moment for a caller that has come back: a late answer is still of use then.
+	Last time.Time
 	// Hedge is when services without an answer are asked once more.
 	Hedge time.Time
 	// Seal is when an answer with enough shards is given without the others.
@@ -41,6 +43,9 @@
 	// startShare is the share of the objective within which a request is started or refused: a caller that hears so
 	// early enough can still be served in good time when it comes back.
 	startShare = 0.25
+	// lastShare is the share of the time left after which a caller that has come back is refused: it hears so early
+	// enough to turn elsewhere, and the servers' queues will hardly become shorter in the rest.
+	lastShare = 0.45
 	// endMargin is the share of the time left that is kept for an answer to arrive before the caller leaves, at
 	// most longestEndMargin.
 	endMargin        = 0.02
@@ -49,6 +54,14 @@
 	defaultPatience = 30 * time.Second
 )
 
+// lastStart returns when a request that has found no room is refused.
+func (s *Schedule) lastStart(returned bool) time.Time {
+	if returned {
+		return s.Last
+	}
+	return s.Start
+}
+
 // NewSchedule sets the moments of a request.
 //
 // Load pattern: single servers stall or turn slow. Hedging at a high quantile of the measured latencies costs few
@@ -75,6 +88,7 @@
 	start := share(objective, startShare) - config.CallerTrip/2
 	return Schedule{
 		Start: config.Received.Add(max(start, 0)),
+		Last:  config.Received.Add(max(min(share(limit, lastShare), end-max(seal, objective/2)), 0)),
 		Hedge: config.Received.Add(hedge),
 		Seal:  config.Received.Add(max(seal, objective/2)),
 		End:   config.Received.Add(end),
