Expect others to be busy at once at the beginning of a burst

Cause: other instances were taken to keep a server as busy as this one did on average over 200 ms. When a burst begins, all of them sent more than the queues held before the average had followed: in TestCallersComeBack 28 of 510 queries failed for lack of coverage, in TestOverload 51 at three times the capacity.

Change: what is open now counts by half where it is above the average.

--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -155,8 +155,8 @@
 // on the route: a slow server is no reason to hold a request back, a queue is.
 //
 // Load pattern: more is asked than the servers' slots carry. Other instances are taken to keep a server as busy as this
-// one does on average, so that each of them stops sending before the server's queue delays answers beyond the bound;
-// measured latencies include that queue. An idle server always has room for one request, else its recovery would not
+// one does on average, and half as busy as it is now, so that each of them stops sending before the server's queue delays answers beyond the
+// bound, also at the beginning of a burst; measured latencies include that queue. An idle server always has room for one request, else its recovery would not
 // be seen.
 func (r *Ranking) HasRoom(route string, candidate *pollencatalog.Server, room Room, now time.Time) bool {
 	r.mu.Lock()
@@ -318,8 +318,9 @@
 	slots = max(slots, 1)
 	others := float64(max(instances-1, 0))
 	busy, busyWork := s.busyNow(now)
-	open := float64(len(s.open)) + others*busy
-	work := float64(s.work) + others*busyWork
+	// A burst meets all instances at once, a coincidence one alone: what is open now counts by half.
+	open := float64(len(s.open)) + others*max(busy, (busy+float64(len(s.open)))/2)
+	work := float64(s.work) + others*max(busyWork, (busyWork+float64(s.work))/2)
 	waiting := open + 1 - float64(slots)
 	if waiting <= 0 || open <= 0 {
 		return 0
