--- a/pollen/pollenforward/plan.go
+++ b/pollen/pollenforward/plan.go
@@ -8,10 +8,10 @@
 
 // Schedule holds the moments at which a request is hedged, sealed and ended.
 type Schedule struct {
-	// Start is when a request that has found no room is refused.
-	Start time.Time
-	// Last is that moment for a caller that has come back: a late answer is still of use then.
-	Last time.Time
+	// RoomLimit is when a request is refused for which no server has had room.
+	RoomLimit time.Time
+	// ReturnedRoomLimit is that moment for a caller that has come back: a late answer is still of use to it.
+	ReturnedRoomLimit time.Time
 	// Hedge is when services without an answer are asked once more.
 	Hedge time.Time
 	// Seal is when an answer with enough shards is given without the others.
@@ -54,12 +54,12 @@
 	defaultPatience = 30 * time.Second
 )
 
-// lastStart returns when a request that has found no room is refused.
-func (s *Schedule) lastStart(returned bool) time.Time {
+// roomLimit returns when a request that has found no room is refused.
+func (s *Schedule) roomLimit(returned bool) time.Time {
 	if returned {
-		return s.Last
+		return s.ReturnedRoomLimit
 	}
-	return s.Start
+	return s.RoomLimit
 }
 
 // NewSchedule sets the moments of a request.
@@ -87,12 +87,12 @@
 	seal := min(objective-config.CallerTrip-share(objective, sealMargin), end)
 	start := share(objective, startShare) - config.CallerTrip/2
 	return Schedule{
-		Start: config.Received.Add(max(start, 0)),
-		Last:  config.Received.Add(max(min(share(limit, lastShare), end-max(seal, objective/2)), 0)),
-		Hedge: config.Received.Add(hedge),
-		Seal:  config.Received.Add(max(seal, objective/2)),
-		End:   config.Received.Add(end),
-		Limit: config.Received.Add(limit),
+		RoomLimit:         config.Received.Add(max(start, 0)),
+		ReturnedRoomLimit: config.Received.Add(max(min(share(limit, lastShare), end-max(seal, objective/2)), 0)),
+		Hedge:             config.Received.Add(hedge),
+		Seal:              config.Received.Add(max(seal, objective/2)),
+		End:               config.Received.Add(end),
+		Limit:             config.Received.Add(limit),
 	}
 }
 
--- a/pollen/pollenforward/plan_test.go
+++ b/pollen/pollenforward/plan_test.go
@@ -42,7 +42,7 @@
 				Received: received, Patience: test.patience, CallerTrip: 20 * ms, Typical: test.typical,
 			})
 			qt.Assert(t, got, qt.Equals, Schedule{
-				Start: received.Add(test.start), Last: received.Add(min(test.end-test.seal, test.limit*45/100)), Hedge: received.Add(test.hedge), Seal: received.Add(test.seal),
+				RoomLimit: received.Add(test.start), ReturnedRoomLimit: received.Add(min(test.end-test.seal, test.limit*45/100)), Hedge: received.Add(test.hedge), Seal: received.Add(test.seal),
 				End: received.Add(test.end), Limit: received.Add(test.limit),
 			})
 		})
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -155,9 +155,9 @@
 // on the route: a slow server is no reason to hold a request back, a queue is.
 //
 // Load pattern: more is asked than the servers' slots carry. Other instances are taken to keep a server as busy as this
-// one does on average, and half as busy as it is now, so that each of them stops sending before the server's queue delays answers beyond the
-// bound, also at the beginning of a burst; measured latencies include that queue. An idle server always has room for one request, else its recovery would not
-// be seen.
+// one does on average, and half as busy as it is now, so that each of them stops sending before the server's queue
+// delays answers beyond the bound, also at the beginning of a burst; measured latencies include that queue. An idle
+// server always has room for one request, else its recovery would not be seen.
 func (r *Ranking) HasRoom(route string, candidate *pollencatalog.Server, room Room, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
