--- a/pollen/pollenforward/plan.go
+++ b/pollen/pollenforward/plan.go
@@ -40,12 +40,12 @@
 	// ones are answered too late.
 	earliestHedge = 0.08
 	latestHedge   = 0.4
-	// startShare is the share of the objective within which a request is started or refused: a caller that hears so
+	// roomShare is the share of the objective within which a request is started or refused: a caller that hears so
 	// early enough can still be served in good time when it comes back.
-	startShare = 0.25
-	// lastShare is the share of the time left after which a caller that has come back is refused: it hears so early
+	roomShare = 0.25
+	// returnedRoomShare is the share of the time left after which a caller that has come back is refused: it hears so early
 	// enough to turn elsewhere, and the servers' queues will hardly become shorter in the rest.
-	lastShare = 0.45
+	returnedRoomShare = 0.45
 	// endMargin is the share of the time left that is kept for an answer to arrive before the caller leaves, at
 	// most longestEndMargin.
 	endMargin        = 0.02
@@ -85,10 +85,10 @@
 	hedge = min(max(hedge, share(objective, earliestHedge)), share(objective, latestHedge))
 	end := limit - min(share(limit, endMargin), longestEndMargin)
 	seal := min(objective-config.CallerTrip-share(objective, sealMargin), end)
-	start := share(objective, startShare) - config.CallerTrip/2
+	room := share(objective, roomShare) - config.CallerTrip/2
 	return Schedule{
-		RoomLimit:         config.Received.Add(max(start, 0)),
-		ReturnedRoomLimit: config.Received.Add(max(min(share(limit, lastShare), end-max(seal, objective/2)), 0)),
+		RoomLimit:         config.Received.Add(max(room, 0)),
+		ReturnedRoomLimit: config.Received.Add(max(min(share(limit, returnedRoomShare), end-max(seal, objective/2)), 0)),
 		Hedge:             config.Received.Add(hedge),
 		Seal:              config.Received.Add(max(seal, objective/2)),
 		End:               config.Received.Add(end),
--- a/pollen/pollenforward/plan_test.go
+++ b/pollen/pollenforward/plan_test.go
@@ -17,7 +17,7 @@
 		objective time.Duration
 		patience  time.Duration
 		typical   time.Duration
-		start     time.Duration
+		room      time.Duration
 		hedge     time.Duration
 		seal      time.Duration
 		end       time.Duration
@@ -42,7 +42,7 @@
 				Received: received, Patience: test.patience, CallerTrip: 20 * ms, Typical: test.typical,
 			})
 			qt.Assert(t, got, qt.Equals, Schedule{
-				RoomLimit: received.Add(test.start), ReturnedRoomLimit: received.Add(min(test.end-test.seal, test.limit*45/100)), Hedge: received.Add(test.hedge), Seal: received.Add(test.seal),
+				RoomLimit: received.Add(test.room), ReturnedRoomLimit: received.Add(min(test.end-test.seal, test.limit*45/100)), Hedge: received.Add(test.hedge), Seal: received.Add(test.seal),
 				End: received.Add(test.end), Limit: received.Add(test.limit),
 			})
 		})
