--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -70,7 +70,11 @@
 func (e *SoakError) Error() string { return fmt.Sprintf("promises were broken with seeds %v", e.Seeds) }
 
 func (s *soakFlags) run(ctx context.Context) error {
-	s.config.Program = filepath.Join(s.programs, "pollenentry")
+	programs, err := filepath.Abs(s.programs)
+	if err != nil {
+		return fmt.Errorf("programs: %w", err)
+	}
+	s.config.Program = filepath.Join(programs, "pollenentry")
 	s.config.Directory, s.config.Output = s.logs, io.Writer(os.Stdout)
 	if s.quiet {
 		s.config.Output = io.Discard
