--- a/pollenbench/pollensoak/world.go
+++ b/pollenbench/pollensoak/world.go
@@ -74,7 +74,8 @@
 
 	mu       sync.Mutex
 	backends []*backend
-	served   int
+	// started counts the servers, for their names.
+	started int
 	// generation counts the sets of shards, and moved whether the moving route goes to the second service.
 	generation int
 	moved      bool
@@ -218,8 +219,8 @@
 		records = 0
 	}
 	w.mu.Lock()
-	w.served++
-	id := fmt.Sprintf("i-%04d", w.served)
+	w.started++
+	id := fmt.Sprintf("i-%04d", w.started)
 	w.mu.Unlock()
 	server, err := pollenstage.StartServer(pollenstage.ServerConfig{
 		ID: id, Service: service, Zone: zone, Slots: serverSlots, Queue: serverQueue, Work: serverWork, Records: records,
