--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -21,10 +21,9 @@
 		return &RefusedError{Cause: "no time left on arrival"}
 	}
 	left := c.schedule.End.Sub(now)
-	table := c.forwarder.config.Table()
 	available := 0
 	for i := range c.legs {
-		if c.forwarder.config.Ranking.Available(table.Usable(nil, c.legs[i].service), now) {
+		if c.available(&c.legs[i], now) {
 			available++
 		}
 	}
@@ -77,13 +76,13 @@
 const readyShare = 0.85
 
 func (c *call) readyToStart() int {
-	return max(1, int(math.Ceil(readyShare*float64(c.needed()))))
+	return int(math.Ceil(readyShare * float64(c.needed())))
 }
 
 // first sends the first request of a leg to a server that was chosen, or leaves it pending if there is none.
 func (c *call) first(i int, server *pollencatalog.Server, now time.Time) {
 	l := &c.legs[i]
-	l.pending = (server == nil || !c.send(i, server, now)) && c.mayGetRoom(l, now)
+	l.pending = (server == nil || !c.send(i, server, now)) && c.available(l, now)
 }
 
 // resume sends what was pending for lack of room.
--- a/pollen/pollenforward/leg.go
+++ b/pollen/pollenforward/leg.go
@@ -128,8 +128,8 @@
 	return len(counted)
 }
 
-// mayGetRoom reports whether it is worth waiting for room: servers that are left out will not have any in time.
-func (c *call) mayGetRoom(l *leg, now time.Time) bool {
+// available reports whether a leg has servers that are not left out: others will hardly have room in time.
+func (c *call) available(l *leg, now time.Time) bool {
 	return c.forwarder.config.Ranking.Available(c.forwarder.config.Table().Usable(nil, l.service), now)
 }
 
@@ -154,7 +154,7 @@
 	}
 	server, ok := c.choose(l, now)
 	if !ok {
-		if c.mayGetRoom(l, now) {
+		if c.available(l, now) {
 			return nil, retryNoRoom
 		}
 		return nil, retryNever
--- a/pollenbench/pollensoak/check_test.go
+++ b/pollenbench/pollensoak/check_test.go
@@ -29,7 +29,7 @@
 		bounds: platformBounds, instanceOf: map[string]int{entry.String(): 0}, runs: make(map[string][]*pollenstage.Run), quiet: at(100),
 		versions: []*version{{
 			configuration: pollenstage.Configuration{Version: 1, Routes: []pollenstage.Route{query, plain, once}},
-			change:        change{sent: at(0), acked: at(0)},
+			sent:          at(0), acked: at(0),
 		}},
 	}
 	ask(r, "q", pathQuery, 200, 50)
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -150,13 +150,12 @@
 
 // retire drains a server and ends it when nobody may send to it any more.
 func (w *world) retire(ctx context.Context, b *backend) error {
-	sent := time.Now()
 	acked, err := b.server.Drain(ctx)
 	if err != nil {
 		return err
 	}
 	w.record.mu.Lock()
-	w.record.drains = append(w.record.drains, &change{name: b.server.ID(), sent: sent, acked: acked})
+	w.record.drains = append(w.record.drains, &change{name: b.server.ID(), acked: acked})
 	w.record.mu.Unlock()
 	time.Sleep(w.record.bounds.Drain + leaveDelay)
 	// Instances that are out of touch may still send, and find the server gone.
@@ -249,13 +248,12 @@
 	zone := zones[random.IntN(len(zones))]
 	w.evacuating.Lock()
 	defer w.evacuating.Unlock()
-	c := &change{name: zone, sent: time.Now()}
 	acked, err := pollenstage.Evacuate(ctx, w.store, zone)
 	if err != nil {
 		return err
 	}
+	c := &change{name: zone, acked: acked}
 	w.record.mu.Lock()
-	c.acked = acked
 	w.record.evacuations = append(w.record.evacuations, c)
 	w.record.mu.Unlock()
 	time.Sleep(w.record.bounds.Evacuate + lasts)
--- a/pollenbench/pollensoak/record.go
+++ b/pollenbench/pollensoak/record.go
@@ -58,16 +58,15 @@
 type change struct {
 	// name is the server's or the zone's.
 	name  string
-	sent  time.Time
 	acked time.Time
 	// undone is when it was taken back, zero if it was not.
 	undone time.Time
 }
 
-// version is a configuration with the time at which it was written.
+// version is a configuration with the times at which it was written and acknowledged.
 type version struct {
 	configuration pollenstage.Configuration
-	change
+	sent, acked   time.Time
 }
 
 // record is what was done and seen in one run.
--- a/pollenbench/pollensoak/world.go
+++ b/pollenbench/pollensoak/world.go
@@ -267,7 +267,7 @@
 	defer w.deploying.Unlock()
 	edit()
 	w.version++
-	v := &version{configuration: w.configuration(), change: change{sent: time.Now()}}
+	v := &version{configuration: w.configuration(), sent: time.Now()}
 	w.record.mu.Lock()
 	w.record.versions = append(w.record.versions, v)
 	w.record.mu.Unlock()
