Log and count the limits that servers state, and the requests to such servers

The logs could not tell whether instances ignore a stated limit, keep to it one by one, or exceed it by hedges. No decision is changed.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenrank"
 )
 
@@ -91,11 +92,27 @@
 // capacity.
 func (c *call) exchange(i, attemptIndex int, observation *pollenrank.Observation, request ServerRequest) {
 	answer, err := c.forwarder.config.Exchanger.Exchange(c.exchangeCtx, request)
-	observation.Finish(outcome(request.SendContext, answer, err), time.Now())
-	c.forwarder.queue.Dispatch(time.Now())
+	now := time.Now()
+	observation.Finish(outcome(request.SendContext, answer, err), now)
+	if limit, ok := answeredLimit(answer, err); ok {
+		c.forwarder.config.Quotas.RecordAnswer(request.Server, limit, observation.Started(), now)
+	}
+	c.forwarder.queue.Dispatch(now)
 	c.results <- result{subrequest: i, attempt: attemptIndex, answer: answer, err: err}
 }
 
+// answeredLimit returns what an answer of the server itself states about its limit, or false if there was no such answer.
+func answeredLimit(answer *Answer, err error) (pollenquota.Limit, bool) {
+	var notRun *NotRunError
+	switch {
+	case err == nil:
+		return answer.Limit, true
+	case errors.As(err, &notRun) && !notRun.Misdirected:
+		return notRun.Limit, true
+	}
+	return pollenquota.Limit{}, false
+}
+
 // outcome classifies the result of an attempt for the ranking.
 func outcome(sendCtx context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -7,6 +7,7 @@
 	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 )
@@ -17,6 +18,7 @@
 	Ranking     *pollenrank.Ranking
 	Budget      *pollenbudget.Budget
 	ColdLimiter *pollenramp.ColdLimiter
+	Quotas      *pollenquota.Quotas
 	// Table returns the current table.
 	Table func() *pollencatalog.Table
 	// CallerRoundTrip is the network round-trip time between caller and instance.
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenmemory"
+	"pollenline.example/pollen/pollenquota"
 )
 
 // Request holds a caller's request with its whole body.
@@ -76,6 +77,8 @@
 	Body   []byte
 	// Signature is the server's opaque identifier of the answer.
 	Signature string
+	// Limit is what the answer states about the rate of requests that the server takes.
+	Limit pollenquota.Limit
 }
 
 // Success reports whether the answer has a status of the 2xx class.
@@ -117,6 +120,8 @@
 	Status int
 	// Misdirected is set if another server has taken over the address.
 	Misdirected bool
+	// Limit is what the answer states about the rate of requests that the server takes.
+	Limit pollenquota.Limit
 }
 
 func (e *NotRunError) Error() string {
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -42,6 +42,7 @@
 	if !c.forwarder.config.ColdLimiter.TryAcquire(server, table, now) {
 		return false
 	}
+	c.forwarder.config.Quotas.CountSend(server, s.sends > 0, now)
 	observation := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
 	guard := &SendGuard{}
 	s.attempts = append(s.attempts, attempt{server: server, observation: observation, guard: guard})
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -201,6 +201,9 @@
 	}
 }
 
+// Started returns when the request was started.
+func (o *Observation) Started() time.Time { return o.started }
+
 // RecordPending records the age of a request in flight as a latency, once per request, so that a slow server is noticed
 // before it answers.
 func (o *Observation) RecordPending(now time.Time) {
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -24,6 +24,7 @@
 	"pollenline.example/pollen/pollenforward"
 	"pollenline.example/pollen/pollenmemory"
 	"pollenline.example/pollen/pollenpool"
+	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenrelay"
@@ -41,6 +42,7 @@
 	pool        *pollenpool.Pool
 	ranking     *pollenrank.Ranking
 	coldLimiter *pollenramp.ColdLimiter
+	quotas      *pollenquota.Quotas
 	registrar   *pollenfollow.Registrar
 	follower    *pollenfollow.Follower
 	metrics     *metrics
@@ -130,12 +132,13 @@
 		pool:         pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: defaultServerIdleTimeout, KeepAlive: keepAliveConfig}),
 		ranking:      pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 		coldLimiter:  pollenramp.New(pollenramp.Config{InstanceName: settings.Name}),
-		metrics:      newMetrics(),
+		quotas:       pollenquota.New(),
 		memory:       pollenmemory.New(pollenmemory.Config{LimitBytes: settings.bodyBytes()}),
 		configured:   make(chan struct{}),
 		tableChanged: make(chan struct{}, 1),
 		relay:        pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare)}),
 	}
+	f.metrics = newMetrics(f.quotas.LimitedServers)
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -180,6 +183,7 @@
 		Exchanger:             pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, MaxAnswerBytes: maxAnswerBytes}),
 		Ranking:               f.ranking,
 		ColdLimiter:           f.coldLimiter,
+		Quotas:                f.quotas,
 		Budget:                f.retryBudget,
 		Table:                 f.view.Table,
 		CallerRoundTrip:       f.settings.Load().CallerTrip.Std(),
@@ -310,6 +314,7 @@
 func (f *Frontend) onPublish(table *pollencatalog.Table) {
 	f.ranking.Prune(table)
 	f.coldLimiter.Prune(table)
+	f.quotas.Prune(table)
 	select {
 	case f.tableChanged <- struct{}{}:
 	default:
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -14,7 +14,8 @@
 	requests *prometheus.CounterVec
 }
 
-func newMetrics() *metrics {
+// newMetrics returns the collectors; limitedServers returns the number of servers that state a limit.
+func newMetrics(limitedServers func() int) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -25,7 +26,9 @@
 			Name: "pollen_requests_total", Help: "Callers' requests by route and status.",
 		}, []string{"route", "status"}),
 	}
-	m.registry.MustRegister(m.latency, m.requests)
+	m.registry.MustRegister(m.latency, m.requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
+	}, func() float64 { return float64(limitedServers()) }))
 	return m
 }
 
