Divide the limit that a server states among the instances

Callers saw nothing; an overloaded server got up to nine times the requests that it said it takes, from which it would have failed next.

Class of fault: a bound on the whole fleet that the instances do not share.

Change: pollenquota divides the rate by the number of instances, each sends at even intervals with its own phase, also hedges and retries. Where the rate is low, 3 + 2 x rate instances, by rendezvous hashing, have a share and the others only probe in turn: after a pause all senders may send at once, and still stay within half of the rate and five requests more. An answer without a limit ends it only if its request was sent after the newest answer with one. A request that can't be sent in time is refused on arrival; a query starts only if the services below their limits suffice.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -11,8 +11,8 @@
 	"pollenline.example/pollen/pollencatalog"
 )
 
-// admit starts the call, or refuses it if the available servers cannot reach the minimum coverage or have no capacity
-// before the admission deadline.
+// admit starts the call, or refuses it if the available servers cannot reach the minimum coverage, or have no capacity or
+// are at their limits until the admission deadline.
 //
 // Load pattern: all servers of several shards are down or overloaded. Requests to the other shards would occupy slots
 // for a query that cannot succeed.
@@ -33,9 +33,16 @@
 			RetryAfter: RetryAfterOutage(timeLeft),
 		}
 	}
+	admissionDeadline := c.schedule.admissionDeadline(c.callerRetry)
+	if c.forwarder.config.Quotas.LimitedServers() > 0 && c.countBelowLimit(now, admissionDeadline) < c.requiredAnswers() {
+		return &RefusedError{
+			Cause:      fmt.Sprintf("servers below their limits for %d of %d services, %d needed", c.countBelowLimit(now, admissionDeadline), len(c.subrequests), c.requiredAnswers()),
+			RetryAfter: RetryAfterOverload(timeLeft, rand.Float64()),
+		}
+	}
 	started := c.forwarder.queue.Admit(ctx, pollenadmit.Request{
 		Priority: c.route.Priority, CapacityKey: c.route.Name, Arrived: c.request.Received, TryStart: c.tryStart,
-		Deadline: c.schedule.admissionDeadline(c.callerRetry), CallerRetry: c.callerRetry,
+		Deadline: admissionDeadline, CallerRetry: c.callerRetry,
 	})
 	c.stats.CallerRetry, c.stats.QueueTime = c.callerRetry, time.Since(now)
 	// The hedge delay starts when the request leaves the queue.
@@ -54,7 +61,12 @@
 
 // tryStart sends the first request of each subrequest if enough of them have capacity; the others stay pending. It
 // reports whether the call has started.
+//
+// Services whose servers are all at their limits do not count as pending: other calls wait for the same few requests.
 func (c *call) tryStart(now time.Time) bool {
+	if c.forwarder.config.Quotas.LimitedServers() > 0 && c.countBelowLimit(now, now) < c.requiredAnswers() {
+		return false
+	}
 	c.otherSenders = c.countOtherSenders(now)
 	chosen := make([]*pollencatalog.Server, len(c.subrequests))
 	ready := 0
@@ -94,11 +106,11 @@
 	return int(math.Ceil(startShare * float64(c.requiredAnswers())))
 }
 
-// sendFirst sends the first request of a subrequest to the chosen server. If server is nil or the cold limiter allows no
-// request to it, the subrequest stays pending as long as the service has an available server.
+// sendFirst sends the first request of a subrequest to the chosen server. If server is nil or its limit or the cold limiter
+// allows no request to it, the subrequest stays pending as long as the service has an available server.
 func (c *call) sendFirst(i int, server *pollencatalog.Server, now time.Time) {
 	s := &c.subrequests[i]
-	s.pending = (server == nil || !c.send(i, server, now)) && c.hasAvailableServer(s, now)
+	s.pending = (server == nil || !c.send(i, server, now)) && c.hasServerBelowLimit(s, now, c.schedule.End)
 }
 
 // sendPending sends the pending subrequests whose servers have capacity now.
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -95,7 +95,7 @@
 	now := time.Now()
 	observation.Finish(outcome(request.SendContext, answer, err), now)
 	if limit, ok := answeredLimit(answer, err); ok {
-		c.forwarder.config.Quotas.RecordAnswer(request.Server, limit, observation.Started(), now)
+		c.forwarder.config.Quotas.RecordAnswer(request.Server, limit, c.forwarder.config.Table(), observation.Started(), now)
 	}
 	c.forwarder.queue.Dispatch(now)
 	c.results <- result{subrequest: i, attempt: attemptIndex, answer: answer, err: err}
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -35,14 +35,13 @@
 // extraSends is how many requests a subrequest may send beyond the route's attempts, to replace those that did not run.
 const extraSends = 2
 
-// send starts an attempt on the chosen server, and reports false if the cold limiter does not allow it.
+// send starts an attempt on the chosen server, and reports false if the server's limit or the cold limiter does not allow it.
 func (c *call) send(i int, server *pollencatalog.Server, now time.Time) bool {
 	s := &c.subrequests[i]
 	table := c.forwarder.config.Table()
-	if !c.forwarder.config.ColdLimiter.TryAcquire(server, table, now) {
+	if !c.forwarder.config.Quotas.TryAcquire(server, s.sends > 0, table, now) || !c.forwarder.config.ColdLimiter.TryAcquire(server, table, now) {
 		return false
 	}
-	c.forwarder.config.Quotas.CountSend(server, s.sends > 0, now)
 	observation := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
 	guard := &SendGuard{}
 	s.attempts = append(s.attempts, attempt{server: server, observation: observation, guard: guard})
@@ -100,11 +99,11 @@
 	return c.bestServer(table, s, tried, now)
 }
 
-// bestServer returns the best of the servers that the cold limiter allows, preferably one with an available connection,
+// bestServer returns the best of the servers that their limits and the cold limiter allow, preferably one with an available connection,
 // and whether it has capacity.
 func (c *call) bestServer(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
 	servers = slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool {
-		return !c.forwarder.config.ColdLimiter.Allows(server, table, now)
+		return !c.forwarder.config.ColdLimiter.Allows(server, table, now) || c.forwarder.config.Quotas.NextSend(server, table, now).After(now)
 	})
 	limit := c.forwarder.connectionLimit(table, s.service, now)
 	connectable := make([]*pollencatalog.Server, 0, len(servers))
@@ -154,6 +153,26 @@
 	return c.forwarder.config.Ranking.AnyAvailable(c.forwarder.config.Table().AppendEligible(nil, s.service), now)
 }
 
+// hasServerBelowLimit reports whether any available server of the subrequest may get a request until a time by its limit.
+func (c *call) hasServerBelowLimit(s *subrequest, now, until time.Time) bool {
+	table := c.forwarder.config.Table()
+	servers := slices.DeleteFunc(table.AppendEligible(nil, s.service), func(server *pollencatalog.Server) bool {
+		return c.forwarder.config.Quotas.NextSend(server, table, now).After(until)
+	})
+	return c.forwarder.config.Ranking.AnyAvailable(servers, now)
+}
+
+// countBelowLimit returns the number of subrequests for which hasServerBelowLimit holds.
+func (c *call) countBelowLimit(now, until time.Time) int {
+	count := 0
+	for i := range c.subrequests {
+		if c.hasServerBelowLimit(&c.subrequests[i], now, until) {
+			count++
+		}
+	}
+	return count
+}
+
 // retryDecision states whether a subrequest may be sent once more.
 type retryDecision int
 
@@ -175,7 +194,7 @@
 	}
 	server, ok := c.chooseServer(s, now)
 	if !ok {
-		if c.hasAvailableServer(s, now) {
+		if c.hasServerBelowLimit(s, now, c.schedule.End) {
 			return nil, retryWhenCapacity
 		}
 		return nil, retryNever
--- a/pollen/pollenquota/quota.go
+++ b/pollen/pollenquota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,9 +18,21 @@
 	PerSecond float64
 }
 
-// Quotas holds the limits that servers state, and counts this instance's requests to these servers.
+// Config identifies the instance that uses Quotas.
+type Config struct {
+	// InstanceName is the name of this instance.
+	InstanceName string
+}
+
+// Quotas holds the limits that servers state, and this instance's requests to these servers.
 type Quotas struct {
-	mu      sync.Mutex
+	config Config
+
+	// limited is the number of servers that state a limit. It spares the lock while there are none.
+	limited atomic.Int32
+
+	mu sync.Mutex
+	// servers holds the servers that have stated a limit, also those that no longer do.
 	servers map[pollencatalog.Incarnation]*quota
 }
 
@@ -28,7 +41,13 @@
 	limit Limit
 	// statedAt is when the newest answer with a limit arrived.
 	statedAt time.Time
-	sends    sendCounts
+	// lastSend is when the last request was sent; before the first one, it is set such that the first one waits for the
+	// share's delay.
+	lastSend time.Time
+	// share is this instance's share of limit by dividedBy.
+	share     share
+	dividedBy *pollencatalog.Table
+	sends     sendCounts
 }
 
 // sendCounts counts requests to a limited server since a time; extra are the hedges and retries among them.
@@ -41,40 +60,97 @@
 const countPeriod = 4 * time.Second
 
 // New returns Quotas without limits.
-func New() *Quotas { return &Quotas{servers: make(map[pollencatalog.Incarnation]*quota)} }
+func New(config Config) *Quotas {
+	return &Quotas{config: config, servers: make(map[pollencatalog.Incarnation]*quota)}
+}
 
 // RecordAnswer records what an answer states about the server's limit; the request was sent not before sentAt.
 //
 // An answer without a limit ends the limit only if its request was sent after the newest answer with one: the others may
 // have been written before the server stated it.
-func (q *Quotas) RecordAnswer(server *pollencatalog.Server, limit Limit, sentAt, now time.Time) {
+func (q *Quotas) RecordAnswer(server *pollencatalog.Server, limit Limit, table *pollencatalog.Table, sentAt, now time.Time) {
+	if !limit.Stated && q.limited.Load() == 0 {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s, ok := q.servers[server.Incarnation()]
 	switch {
 	case limit.Stated:
 		if !ok {
-			s = &quota{sends: sendCounts{since: now}}
+			first := divide(limit.PerSecond, server, table, q.config.InstanceName)
+			s = &quota{lastSend: now.Add(first.delay - first.interval), sends: sendCounts{since: now}}
 			q.servers[server.Incarnation()] = s
 		}
 		if s.limit != limit {
 			klog.InfoS("Server states limit", "server", server.ID, "service", server.Service, "perSecond", limit.PerSecond, "before", s.limit.PerSecond)
 		}
+		if !s.limit.Stated {
+			q.limited.Add(1)
+		}
+		if s.limit != limit {
+			s.dividedBy = nil
+		}
 		s.limit, s.statedAt = limit, now
 	case ok && s.limit.Stated && sentAt.After(s.statedAt):
 		klog.InfoS("Server no longer states limit", "server", server.ID, "service", server.Service, "before", s.limit.PerSecond)
 		s.limit = Limit{}
+		q.limited.Add(-1)
 	}
 }
 
-// CountSend counts a request to a server; extra is set for hedges and retries.
-func (q *Quotas) CountSend(server *pollencatalog.Server, extra bool, now time.Time) {
+// NextSend returns when a request may be sent to a server: now if that is not later.
+func (q *Quotas) NextSend(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time) time.Time {
+	if q.limited.Load() == 0 {
+		return now
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.nextSend(server, table, now)
+}
+
+// TryAcquire reports whether a request may be sent to a server now, and counts it if so; extra is set for hedges and retries.
+func (q *Quotas) TryAcquire(server *pollencatalog.Server, extra bool, table *pollencatalog.Table, now time.Time) bool {
+	if q.limited.Load() == 0 {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.nextSend(server, table, now).After(now) {
+		return false
+	}
+	if s, ok := q.servers[server.Incarnation()]; ok && s.limit.Stated {
+		s.lastSend = now
+		s.countSend(server, extra, now)
+	}
+	return true
+}
+
+// nextSend implements NextSend. The caller must hold the mutex.
+func (q *Quotas) nextSend(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time) time.Time {
 	s, ok := q.servers[server.Incarnation()]
 	if !ok || !s.limit.Stated {
-		return
+		return now
 	}
+	if s.dividedBy != table {
+		s.share, s.dividedBy = divide(s.limit.PerSecond, server, table, q.config.InstanceName), table
+	}
+	next := s.lastSend.Add(s.share.interval)
+	if s.share.probe && now.Sub(next) >= probeWindow {
+		// A turn that was not used is lost; else all instances without a share might send at once.
+		missed := now.Sub(next) / s.share.interval
+		if next = next.Add(missed * s.share.interval); now.Sub(next) >= probeWindow {
+			next = next.Add(s.share.interval)
+		}
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+// countSend counts a request to a limited server and logs the count once per countPeriod.
+func (s *quota) countSend(server *pollencatalog.Server, extra bool, now time.Time) {
 	if now.Sub(s.sends.since) >= countPeriod {
 		klog.InfoS("Requests to limited server", "server", server.ID, "perSecond", s.limit.PerSecond, "sends", s.sends.total, "extra", s.sends.extra,
 			"periodMs", now.Sub(s.sends.since).Milliseconds())
@@ -87,26 +163,20 @@
 }
 
 // LimitedServers returns the number of servers that state a limit.
-func (q *Quotas) LimitedServers() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	limited := 0
-	for _, s := range q.servers {
-		if s.limit.Stated {
-			limited++
-		}
-	}
-	return limited
-}
+func (q *Quotas) LimitedServers() int { return int(q.limited.Load()) }
 
 // Prune removes the servers that the table no longer holds.
 func (q *Quotas) Prune(table *pollencatalog.Table) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	known := table.Incarnations()
-	for incarnation := range q.servers {
-		if !known[incarnation] {
-			delete(q.servers, incarnation)
+	for incarnation, s := range q.servers {
+		if known[incarnation] {
+			continue
+		}
+		delete(q.servers, incarnation)
+		if s.limit.Stated {
+			q.limited.Add(-1)
 		}
 	}
 }
--- /dev/null
+++ b/pollen/pollenquota/share.go
@@ -0,0 +1,66 @@
+package pollenquota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollenline.example/pollen/pollencatalog"
+)
+
+const (
+	// minPerSecond is the least rate that is divided: without requests the end of a limit would not be noticed.
+	minPerSecond = 0.25
+	// minSenders and sendersPerRequest bound the instances that share a rate: after a pause all of them may send at once,
+	// and a server may get at most half of its rate and five requests more in any four seconds.
+	minSenders        = 3
+	sendersPerRequest = 2
+	// probeInterval is the mean time between two requests from all instances that have no share of the rate. Their requests
+	// show them the end of the limit.
+	probeInterval = 4 * time.Second
+	// probeWindow is how long an instance without a share may use its turn.
+	probeWindow = time.Second
+)
+
+// share is how one instance may send to a limited server.
+type share struct {
+	// interval is the time between two requests.
+	interval time.Duration
+	// delay is the wait before the first one, which differs between instances.
+	delay time.Duration
+	// probe is set if the instance has no share of the rate and only sends to notice the end of the limit.
+	probe bool
+}
+
+// divide returns the share of an instance in the rate of a server.
+func divide(perSecond float64, server *pollencatalog.Server, table *pollencatalog.Table, instanceName string) share {
+	perSecond = max(perSecond, minPerSecond)
+	sharers := table.SharerCount()
+	senders := min(sharers, minSenders+int(sendersPerRequest*perSecond))
+	position := countPreceding(table.Instances(), server, instanceName)
+	if position < senders {
+		interval := time.Duration(float64(senders) / perSecond * float64(time.Second))
+		return share{interval: interval, delay: interval * time.Duration(position+1) / time.Duration(senders)}
+	}
+	probers := max(sharers-senders, 1)
+	return share{
+		interval: probeInterval * time.Duration(probers),
+		delay:    probeInterval * time.Duration(1+(position-senders)%probers), probe: true,
+	}
+}
+
+// countPreceding returns how many other instances come before an instance in the server's order of senders.
+func countPreceding(instances []pollencatalog.Instance, server *pollencatalog.Server, instanceName string) int {
+	own := senderHash(instanceName, server)
+	preceding := 0
+	for _, i := range instances {
+		if i.Name != instanceName && senderHash(i.Name, server) > own {
+			preceding++
+		}
+	}
+	return preceding
+}
+
+func senderHash(instanceName string, server *pollencatalog.Server) uint64 {
+	return xxhash.Sum64String(instanceName + "/" + server.ID)
+}
