--- a/pollenbench/pollensoak/check.go
+++ b/pollenbench/pollensoak/check.go
@@ -41,6 +41,7 @@
 	{"TimeLeft", "the timeout passed to a server does not exceed the caller's remaining time", checkTimeLeft},
 	{"Draining", "a draining server receives no requests after the drain bound", checkDraining},
 	{"Evacuated", "servers of an evacuated zone receive no requests after the evacuation bound", checkEvacuated},
+	{"StatedLimit", "a server that states how many requests per second it takes gets no more, within the tolerance", checkStatedLimit},
 	{"InForce", "a configuration version is applied within its bound, and no older version is used afterwards", checkInForce},
 	{"NothingCut", "planned operations interrupt no request in flight", checkNothingCut},
 	{"StopsInTime", "an instance exits without an error within its stop timeout", checkStopsInTime},
@@ -263,6 +264,40 @@
 	}
 }
 
+func checkStatedLimit(r *record, report func(string, string, ...any)) {
+	for _, l := range r.limits {
+		arrivals := r.pacedArrivals(l)
+		for i, first := range arrivals {
+			n := 0
+			for n < len(arrivals)-i && arrivals[i+n].Sub(first) < r.bounds.LimitPeriod {
+				n++
+			}
+			if allowed := r.bounds.LimitFactor*l.perSecond*r.bounds.LimitPeriod.Seconds() + r.bounds.LimitSlack; float64(n) > allowed {
+				report("", "server %s received %d requests in %v with a limit of %v per second", l.server, n, r.bounds.LimitPeriod, l.perSecond)
+				break
+			}
+		}
+	}
+}
+
+// pacedArrivals returns when requests reached a limited server since its limit must be kept, in order. Requests of instances
+// that have just restarted or been suspended, or that a link may have held up, are left out.
+func (r *record) pacedArrivals(l statedLimit) []time.Time {
+	var arrivals []time.Time
+	for _, o := range r.outcomes {
+		for _, run := range r.runs[o.Request.ID] {
+			if run.Server != l.server || run.ReceivedAt.Before(l.from.Add(r.bounds.LimitNotice)) || run.ReceivedAt.After(l.to) {
+				continue
+			}
+			if !r.overlapsDisturbance(r.instanceNumber(o), run.ReceivedAt.Add(-r.bounds.Reconnect), run.ReceivedAt, disturbsPace) {
+				arrivals = append(arrivals, run.ReceivedAt)
+			}
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	return arrivals
+}
+
 func checkInForce(r *record, report func(string, string, ...any)) {
 	for _, o := range r.outcomes {
 		if !r.storeUndisturbed(r.instanceNumber(o), o.Sent) {
--- a/pollenbench/pollensoak/check_test.go
+++ b/pollenbench/pollensoak/check_test.go
@@ -1,6 +1,7 @@
 package pollensoak
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -75,6 +76,18 @@
 	})
 }
 
+// limitServer adds requests that reach a server at about second 50, with a limit of 2 requests per second from a second on.
+func limitServer(r *record, requests int, from float64) {
+	r.limits = []statedLimit{{server: "srv-limited", perSecond: 2, from: atSecond(from), to: atSecond(60)}}
+	for n := range requests {
+		id := fmt.Sprintf("limited-%d", n)
+		addOutcome(r, id, pathPlain, 500, 50)
+		addRun(r, id, "srv-limited", "x", "")
+		r.runs[id][0].Status = 500
+		r.outcomes[len(r.outcomes)-1].Stamp = "srv-limited/" + id
+	}
+}
+
 // Guards against checks that miss a violation, and against checks that report one where only another promise is broken
 // or where the request is exempt because of a fault or a tolerance.
 func TestChecksReportOnlyBrokenPromise(t *testing.T) {
@@ -136,6 +149,13 @@
 			r.versions = append(r.versions, &newer)
 			r.disturbances = []*disturbance{{instance: 0, effect: disturbsStore, begin: atSecond(48), end: atSecond(49)}, {instance: 0, effect: disturbsStore, begin: atSecond(118), end: atSecond(119)}}
 		}, ""},
+		{"more than the limit", func(r *record) { limitServer(r, 20, 30) }, "StatedLimit"},
+		{"as much as the limit", func(r *record) { limitServer(r, 17, 30) }, ""},
+		{"limit just stated", func(r *record) { limitServer(r, 20, 48) }, ""},
+		{"more than the limit after a restart", func(r *record) {
+			limitServer(r, 20, 30)
+			r.disturbances = []*disturbance{{instance: 0, effect: disturbsPace, begin: atSecond(45), end: atSecond(47)}}
+		}, ""},
 		{"cut", func(r *record) { r.outcomes[1].Status = 0 }, "NothingCut"},
 		{"cut by a fault", func(r *record) {
 			r.outcomes[1].Status = 0
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -43,6 +43,7 @@
 	{"servers-garble", "some servers truncate responses", serverFault(0.4, pollenfakeplatform.ServerFaults{TruncatedAnswerShare: 0.2})},
 	{"servers-double", "some servers send responses twice", serverFault(0.4, pollenfakeplatform.ServerFaults{DuplicateAnswerShare: 0.2})},
 	{"servers-hang", "some servers accept requests and never respond", serverFault(0.25, pollenfakeplatform.ServerFaults{HangShare: 0.5})},
+	{"servers-limited", "some servers state how many requests per second they take", injectLimit},
 	{"links-silent", "connections to some servers stall in both directions", serverLinkFault(func(p *proxy) { p.setMode(modeStall, 0) })},
 	{"links-reset", "connections to some servers are reset", serverLinkFault((*proxy).resetLinks)},
 	{"links-deaf", "open connections to some servers stall, new ones work", serverLinkFault((*proxy).stallOpenLinks)},
@@ -60,7 +61,7 @@
 	e := c.randomInstance(random)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	defer c.record.beginDisturbance(e.number, disturbsStore|disturbsRequests)()
+	defer c.record.beginDisturbance(e.number, disturbsStore|disturbsRequests|disturbsPace)()
 	e.process.Kill()
 	time.Sleep(restartDelay)
 	return c.startInstance(e)
@@ -71,7 +72,7 @@
 	e := c.randomInstance(random)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	defer c.record.beginDisturbance(e.number, disturbsStore)()
+	defer c.record.beginDisturbance(e.number, disturbsStore|disturbsPace)()
 	// A process that has just started may not handle signals yet, and has no requests in flight.
 	wasReady := isReady(ctx, e.readinessAddress)
 	if err := e.process.Stop(c.record.bounds.StopTimeout); err != nil {
@@ -88,7 +89,7 @@
 	e := c.randomInstance(random)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	defer c.record.beginDisturbance(e.number, disturbsStore|disturbsRequests)()
+	defer c.record.beginDisturbance(e.number, disturbsStore|disturbsRequests|disturbsPace)()
 	if err := e.process.Signal(syscall.SIGSTOP); err != nil {
 		return fmt.Errorf("pause %s: %w", e.name, err)
 	}
@@ -185,10 +186,34 @@
 	}
 }
 
+const (
+	// limitDuration is longer than the time after which a limit must be kept, and a period in which it is checked.
+	limitDuration = 9 * time.Second
+	// limitPerSecond is far below the usual rate of requests to a server.
+	limitPerSecond = 1.5
+)
+
+// injectLimit makes some servers state a limit for limitDuration.
+func injectLimit(_ context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
+	chosen := slices.DeleteFunc(c.randomServers(random, 0.4), func(b *backend) bool { return b.server.Limited() })
+	from := time.Now()
+	for _, b := range chosen {
+		b.server.SetLimit(limitPerSecond)
+	}
+	time.Sleep(limitDuration)
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	for _, b := range chosen {
+		b.server.SetLimit(0)
+		c.record.limits = append(c.record.limits, statedLimit{server: b.server.ID(), perSecond: limitPerSecond, from: from, to: time.Now()})
+	}
+	return nil
+}
+
 // serverLinkFault returns an inject function that disturbs the links to a quarter of the servers.
 func serverLinkFault(disturb func(*proxy)) func(context.Context, *cluster, *rand.Rand, time.Duration) error {
 	return func(_ context.Context, c *cluster, random *rand.Rand, duration time.Duration) error {
-		defer c.record.beginDisturbance(allInstances, disturbsRequests)()
+		defer c.record.beginDisturbance(allInstances, disturbsRequests|disturbsPace)()
 		chosen := c.randomServers(random, 0.25)
 		for _, b := range chosen {
 			disturb(b.proxy)
--- a/pollenbench/pollensoak/record.go
+++ b/pollenbench/pollensoak/record.go
@@ -23,6 +23,10 @@
 	// Recovery is the time after the last fault from which at least MinRecoveredShare of requests must succeed.
 	Recovery          time.Duration
 	MinRecoveredShare float64
+	// LimitNotice is the time after which a limit that a server states must be kept. In any LimitPeriod the server may then get
+	// LimitFactor times what the limit allows, and LimitSlack requests more.
+	LimitNotice, LimitPeriod time.Duration
+	LimitFactor, LimitSlack  float64
 	// DeadlineSlack is by how much the timeout passed to a server may exceed the caller's remaining time.
 	DeadlineSlack time.Duration
 }
@@ -31,6 +35,7 @@
 var platformBounds = Bounds{
 	Reconnect: 4 * time.Second, Apply: 3 * time.Second, Drain: 3 * time.Second, Evacuate: 5 * time.Second, StopTimeout: 6 * time.Second,
 	CloseRace: 200 * time.Millisecond, Recovery: 12 * time.Second, MinRecoveredShare: 0.25, DeadlineSlack: 500 * time.Millisecond,
+	LimitNotice: 4 * time.Second, LimitPeriod: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
 }
 
 // allInstances is the instance number of disturbances that affect all instances.
@@ -44,6 +49,8 @@
 	disturbsStore effect = 1 << iota
 	// disturbsRequests is set if requests may be interrupted or delayed.
 	disturbsRequests
+	// disturbsPace is set if requests may reach servers later than they were sent, or from instances that have just started.
+	disturbsPace
 )
 
 // disturbance is a period in which a fault was active. Its end is zero while the fault lasts.
@@ -63,6 +70,13 @@
 	revertedAt time.Time
 }
 
+// statedLimit is a limit that a server stated in its answers for a time.
+type statedLimit struct {
+	server    string
+	perSecond float64
+	from, to  time.Time
+}
+
 // version is a configuration with the times at which it was sent to the store and acknowledged.
 type version struct {
 	configuration   pollenfakeplatform.Configuration
@@ -78,6 +92,7 @@
 	versions     []*version
 	drains       []*change
 	evacuations  []*change
+	limits       []statedLimit
 	disturbances []*disturbance
 	// instanceByAddress maps the address that callers use to the instance's number.
 	instanceByAddress map[string]int
