Log the store's era, and what a watcher reads and does not relay

The logs did not show whether changes are lost between the store and its readers or between a watcher and its followers. No decision is changed.

--- a/pollen/pollenfollow/follow.go
+++ b/pollen/pollenfollow/follow.go
@@ -52,6 +52,8 @@
 	restartWatch chan struct{}
 	// unavailable is set from the first failed call to the next answered one.
 	unavailable bool
+	// era is the store's era by the last answer.
+	era uint64
 }
 
 // NewFollower returns a Follower that reads nothing until Run is called.
@@ -76,6 +78,8 @@
 		if err != nil {
 			return
 		}
+		klog.InfoS("Keys listed", "revision", listing.Listing.Revision, "era", listing.Listing.Era)
+		f.era = listing.Listing.Era
 		f.reportListing(listing)
 		f.followChanges(ctx, listing.Listing.Revision)
 		// A further listing is needed only if the store has compacted the history; a stale one could be too old.
@@ -115,6 +119,10 @@
 			return
 		}
 		f.reportAnswer()
+		if changes.Revision < after || changes.Era > f.era && f.era > 0 {
+			klog.InfoS("Store was restored from a copy", "after", after, "revision", changes.Revision, "era", changes.Era, "before", f.era)
+		}
+		f.era = changes.Era
 		after = max(after, changes.Revision)
 		if len(changes.Events) > 0 {
 			f.config.Post(pollenview.StoreChanged{Changes: changes})
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -80,11 +80,20 @@
 	s.lastContact = at
 }
 
-// Reset replaces the replica by a listing.
-func (s *Server) Reset(listing pollenstore.Listing) { s.replica.Reset(listing) }
+// Reset replaces the replica by a listing if that is newer.
+func (s *Server) Reset(listing pollenstore.Listing) {
+	if !s.replica.Reset(listing) {
+		klog.InfoS("Listing is not newer than the relayed keys", "revision", listing.Revision, "era", listing.Era, "relayed", s.replica.Revision())
+	}
+}
 
-// Apply applies events to the replica.
-func (s *Server) Apply(changes pollenstore.Changes) { s.replica.Apply(changes) }
+// Apply applies the events that are newer than the replica.
+func (s *Server) Apply(changes pollenstore.Changes) {
+	if applied := s.replica.Apply(changes); len(applied) < len(changes.Events) {
+		klog.InfoS("Events are not newer than the relayed keys", "revision", changes.Revision, "era", changes.Era, "relayed", s.replica.Revision(),
+			"events", len(changes.Events), "applied", len(applied))
+	}
+}
 
 // Serve answers calls on a listener until it is closed.
 func (s *Server) Serve(listener net.Listener) error {
--- a/pollen/pollenstore/store.go
+++ b/pollen/pollenstore/store.go
@@ -25,12 +25,17 @@
 type Listing struct {
 	Entries  []Entry
 	Revision uint64
+	// Era is the store's era at the listing, zero if the store does not state it.
+	Era uint64
 }
 
 // Changes holds the events under a prefix up to a store revision.
 type Changes struct {
 	Events   []Event
 	Revision uint64
+	// Era is the store's era at the answer, zero if the store does not state it. It rises each time the store comes back from a
+	// copy; revisions of different eras can't be compared.
+	Era uint64
 }
 
 // Swap is a write or deletion of a key that takes effect only if the key still has the expected version.
