--- a/pollen/pollenfakestore/store.go
+++ b/pollen/pollenfakestore/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -25,8 +27,10 @@
 
 // Store is an in-memory key-value store with leases, watches and compare-and-swap.
 type Store struct {
-	mu                sync.Mutex
-	revision          uint64
+	mu       sync.Mutex
+	revision uint64
+	// era is how often the store was restored from a copy.
+	era               uint64
 	entries           map[string]pollenstore.Entry
 	leases            map[uint64]*lease
 	events            []pollenstore.Event
@@ -116,7 +120,7 @@
 	if s.staleListing == nil {
 		return s.listLocked(prefix), nil
 	}
-	listing := pollenstore.Listing{Revision: s.staleListing.Revision}
+	listing := pollenstore.Listing{Revision: s.staleListing.Revision, Era: s.staleListing.Era}
 	for _, entry := range s.staleListing.Entries {
 		if strings.HasPrefix(entry.Key, prefix) {
 			listing.Entries = append(listing.Entries, entry)
@@ -178,6 +182,50 @@
 	s.nextEvent = make(chan struct{})
 }
 
+// Copy is the content of a store at one time.
+type Copy struct {
+	revision uint64
+	entries  map[string]pollenstore.Entry
+	leases   map[uint64]lease
+}
+
+// Copy returns a copy of the store's content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := Copy{revision: s.revision, entries: maps.Clone(s.entries), leases: make(map[uint64]lease)}
+	for id, l := range s.leases {
+		copied.leases[id] = lease{duration: l.duration, keys: slices.Clone(l.keys)}
+	}
+	return copied
+}
+
+// Restore replaces the store's content by a copy: what was written since is lost, and its revisions are given out again. The
+// copy's leases begin anew.
+func (s *Store) Restore(copied Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.entries = copied.revision, maps.Clone(copied.entries)
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	s.leases = make(map[uint64]*lease)
+	for id, l := range copied.leases {
+		s.leases[id] = &lease{duration: l.duration, keys: slices.Clone(l.keys), timer: time.AfterFunc(l.duration, func() { s.endLease(id) })}
+	}
+	s.events, s.compactedRevision = nil, s.revision
+	close(s.nextEvent)
+	s.nextEvent = make(chan struct{})
+}
+
+// Era returns how often the store was restored from a copy.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Grant returns a new lease, which expires after the duration unless it is renewed.
 func (s *Store) Grant(ctx context.Context, duration time.Duration) (pollenstore.Lease, error) {
 	if err := s.beginCall(ctx, "Grant"); err != nil {
@@ -285,7 +333,7 @@
 }
 
 func (s *Store) listLocked(prefix string) pollenstore.Listing {
-	listing := pollenstore.Listing{Revision: s.revision}
+	listing := pollenstore.Listing{Revision: s.revision, Era: s.era}
 	for key, entry := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			listing.Entries = append(listing.Entries, entry)
@@ -302,10 +350,10 @@
 	if s.faults.Down {
 		return pollenstore.Changes{}, nil, &pollenstore.UnavailableError{Call: "Watch", Err: ErrDown}
 	}
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return pollenstore.Changes{}, nil, &pollenstore.CompactedError{Oldest: s.compactedRevision}
 	}
-	changes := pollenstore.Changes{Revision: s.revision}
+	changes := pollenstore.Changes{Revision: s.revision, Era: s.era}
 	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Entry.Version > after })
 	for _, event := range s.events[first:] {
 		if strings.HasPrefix(event.Entry.Key, prefix) {
