Compare revisions of the store within its era only

Cause: after the store came back from a copy it gives out revisions again. Replicas that are relayed kept the highest revision that they had seen, refused the listing and dropped the events of the restored store; and an instance that watched from a revision which the store had given out again meanwhile skipped what was below. Class of fault: an order that only holds within one incarnation of a dependency, used across two.

Change: the store's era goes with each listing and each change (pollenstore.Position). A watch whose answer is of another era ends with RestoredError, which like a compacted history leads to a listing; a replica takes a listing of a later era and no changes of another one; a watcher that is behind in eras counts as stale; seeds are compared by position. An era that is not stated, as by an older build, is compared by revision.

--- a/pollen/pollenfollow/follow.go
+++ b/pollen/pollenfollow/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -21,8 +20,9 @@
 	// CatchUp returns the events after a listing from another instance that the listing names, or false if that is not
 	// possible.
 	CatchUp(ctx context.Context, listing pollenstore.Listing) (pollenstore.Changes, bool)
-	// Watch waits for events under a prefix after a revision, and returns none when wait has passed.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (pollenstore.Changes, error)
+	// Watch waits for events under a prefix after a position, and returns none when wait has passed. It returns an error for
+	// which pollenstore.HistoryGone holds if the events can't be had any more.
+	Watch(ctx context.Context, prefix string, after pollenstore.Position, wait time.Duration) (pollenstore.Changes, error)
 }
 
 // Seeds reads the keys as other instances know them.
@@ -52,8 +52,6 @@
 	restartWatch chan struct{}
 	// unavailable is set from the first failed call to the next answered one.
 	unavailable bool
-	// era is the store's era by the last answer.
-	era uint64
 }
 
 // NewFollower returns a Follower that reads nothing until Run is called.
@@ -79,10 +77,9 @@
 			return
 		}
 		klog.InfoS("Keys listed", "revision", listing.Listing.Revision, "era", listing.Listing.Era)
-		f.era = listing.Listing.Era
 		f.reportListing(listing)
-		f.followChanges(ctx, listing.Listing.Revision)
-		// A further listing is needed only if the store has compacted the history; a stale one could be too old.
+		f.followChanges(ctx, listing.Listing.Position())
+		// A further listing is needed only if the store no longer has the history; a stale one could be too old.
 		list = f.listAgain
 		maxDelay = maxRetryDelay
 	}
@@ -106,24 +103,19 @@
 	}
 }
 
-// followChanges posts the events after a revision until the store has compacted the next ones or ctx is done.
-func (f *Follower) followChanges(ctx context.Context, after uint64) {
-	var compacted *pollenstore.CompactedError
+// followChanges posts the events after a position until the store no longer has the next ones or ctx is done.
+func (f *Follower) followChanges(ctx context.Context, after pollenstore.Position) {
 	for ctx.Err() == nil {
 		changes, err := retryUntilAnswered(ctx, maxRetryDelay, f.reportFailure, func() (pollenstore.Changes, error) { return f.watchOnce(ctx, after) })
-		if errors.As(err, &compacted) {
-			klog.InfoS("Store history is gone, reading all keys", "after", after)
+		if pollenstore.HistoryGone(err) {
+			klog.InfoS("Store history is gone, reading all keys", "after", after.Revision, "era", after.Era, "cause", err.Error())
 			return
 		}
 		if err != nil {
 			return
 		}
 		f.reportAnswer()
-		if changes.Revision < after || changes.Era > f.era && f.era > 0 {
-			klog.InfoS("Store was restored from a copy", "after", after, "revision", changes.Revision, "era", changes.Era, "before", f.era)
-		}
-		f.era = changes.Era
-		after = max(after, changes.Revision)
+		after = after.Advance(changes.Position())
 		if len(changes.Events) > 0 {
 			f.config.Post(pollenview.StoreChanged{Changes: changes})
 			sleep(ctx, f.config.BatchDelay)
@@ -132,7 +124,7 @@
 }
 
 // watchOnce makes one watch call. RestartWatch ends it as if it had been answered without events.
-func (f *Follower) watchOnce(ctx context.Context, after uint64) (pollenstore.Changes, error) {
+func (f *Follower) watchOnce(ctx context.Context, after pollenstore.Position) (pollenstore.Changes, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	restarted := make(chan bool, 1)
@@ -148,7 +140,7 @@
 	changes, err := f.config.Reader.Watch(ctx, "", after, f.config.WatchWait)
 	cancel()
 	if <-restarted && err != nil {
-		return pollenstore.Changes{Revision: after}, nil
+		return pollenstore.Changes{Revision: after.Revision, Era: after.Era}, nil
 	}
 	return changes, err
 }
@@ -167,13 +159,12 @@
 	}
 }
 
-// retryUntilAnswered repeats a call until it is answered, the history is compacted or ctx is done. The delays grow up to
+// retryUntilAnswered repeats a call until it is answered, the history is gone or ctx is done. The delays grow up to
 // maxDelay and are jittered, so that instances don't call at the same time.
 func retryUntilAnswered[T any](ctx context.Context, maxDelay time.Duration, reportFailure func(error), call func() (T, error)) (T, error) {
-	var compacted *pollenstore.CompactedError
 	for delay := minRetryDelay; ; delay = min(2*delay, maxDelay) {
 		answer, err := call()
-		if err == nil || errors.As(err, &compacted) {
+		if err == nil || pollenstore.HistoryGone(err) {
 			return answer, err
 		}
 		if ctx.Err() != nil {
--- a/pollen/pollenfollow/follow_test.go
+++ b/pollen/pollenfollow/follow_test.go
@@ -76,8 +76,8 @@
 	return *next.listing, err
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (pollenstore.Changes, error) {
-	next, err := s.next(ctx, fmt.Sprintf("watch %d", after))
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after pollenstore.Position, _ time.Duration) (pollenstore.Changes, error) {
+	next, err := s.next(ctx, fmt.Sprintf("watch %d", after.Revision))
 	if next.changes == nil {
 		return pollenstore.Changes{}, err
 	}
@@ -308,10 +308,10 @@
 	return pollenstore.Listing{Revision: 1}, s.answer(ctx)
 }
 
-func (s *silentStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (pollenstore.Changes, error) {
+func (s *silentStore) Watch(ctx context.Context, _ string, after pollenstore.Position, wait time.Duration) (pollenstore.Changes, error) {
 	err := s.answer(ctx)
 	sleep(ctx, wait)
-	return pollenstore.Changes{Revision: after}, err
+	return pollenstore.Changes{Revision: after.Revision}, err
 }
 
 // recoveringStore refuses all calls until recoversAt.
@@ -338,7 +338,7 @@
 	return pollenstore.Listing{Revision: 1}, s.checkAvailable()
 }
 
-func (s *recoveringStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (pollenstore.Changes, error) {
+func (s *recoveringStore) Watch(ctx context.Context, _ string, _ pollenstore.Position, wait time.Duration) (pollenstore.Changes, error) {
 	sleep(ctx, wait)
 	return pollenstore.Changes{Revision: 1}, s.checkAvailable()
 }
--- a/pollen/pollenfollow/startup.go
+++ b/pollen/pollenfollow/startup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -21,7 +20,6 @@
 //
 // If the store does not answer, other instances' keys are used, and brought up to date once it does.
 func (f *Follower) listInitially(ctx context.Context) (pollenview.StoreListed, error) {
-	var compacted *pollenstore.CompactedError
 	start := time.Now()
 	listed, err := f.listStale(ctx)
 	for err == nil && listed.StoreErr == nil {
@@ -38,8 +36,8 @@
 	if err != nil || listed.StoreErr != nil {
 		return listed, err
 	}
-	changes, err := f.config.Reader.Watch(ctx, "", listed.Listing.Revision, minWatchWait)
-	if errors.As(err, &compacted) {
+	changes, err := f.config.Reader.Watch(ctx, "", listed.Listing.Position(), minWatchWait)
+	if pollenstore.HistoryGone(err) {
 		return f.listAgain(ctx)
 	}
 	if err != nil {
@@ -160,9 +158,8 @@
 			entries[event.Entry.Key] = event.Entry
 		}
 	}
-	return pollenstore.Listing{
-		Entries: slices.Collect(maps.Values(entries)), Revision: max(listing.Revision, changes.Revision),
-	}
+	position := listing.Position().Advance(changes.Position())
+	return pollenstore.Listing{Entries: slices.Collect(maps.Values(entries)), Revision: position.Revision, Era: position.Era}
 }
 
 // minWatchWait is the wait of a watch that only reads the events that have already happened.
--- a/pollen/polleninstance/run.go
+++ b/pollen/polleninstance/run.go
@@ -17,6 +17,7 @@
 	"pollenline.example/pollen/pollenmessage"
 	"pollenline.example/pollen/pollenpeer"
 	"pollenline.example/pollen/pollenschema/pollenschemaconnect"
+	"pollenline.example/pollen/pollenstore"
 )
 
 const (
@@ -200,7 +201,7 @@
 	replica := h.instance.replica
 	// The age is read first: changes that are applied afterwards only make the replica newer than stated.
 	age := h.instance.core.ReplicaAge()
-	changes, err := replica.Watch(ctx, request.After, request.Wait)
+	changes, err := replica.Watch(ctx, pollenstore.Position{Revision: request.After}, request.Wait)
 	if err != nil {
 		return pollenpeer.WatchReply{Listing: replica.List(pollencontrol.Prefix), Whole: true, Age: age}, nil
 	}
--- a/pollen/pollenrelay/malformed_test.go
+++ b/pollen/pollenrelay/malformed_test.go
@@ -64,7 +64,7 @@
 				_, _ = conn.Write(test.data(t))
 				synctest.Wait()
 				conn.Close()
-				_, err = z.source.Watch(t.Context(), "", 7, time.Minute)
+				_, err = z.source.Watch(t.Context(), "", pollenstore.Position{Revision: 7}, time.Minute)
 				c.Assert(err, qt.IsNil)
 				c.Assert(z.store.calls, qt.HasLen, 0)
 			})
--- a/pollen/pollenrelay/relay_test.go
+++ b/pollen/pollenrelay/relay_test.go
@@ -38,7 +38,7 @@
 	return pollenstore.Listing{Revision: 100}, s.record("list")
 }
 
-func (s *recordingStore) Watch(context.Context, string, uint64, time.Duration) (pollenstore.Changes, error) {
+func (s *recordingStore) Watch(context.Context, string, pollenstore.Position, time.Duration) (pollenstore.Changes, error) {
 	return pollenstore.Changes{Revision: 100}, s.record("watch")
 }
 
@@ -141,7 +141,7 @@
 				z.watcher.SetLastContact(time.Now())
 				test.prepare(z)
 				start := time.Now()
-				_, err := z.source.Watch(t.Context(), "", 7, time.Minute)
+				_, err := z.source.Watch(t.Context(), "", pollenstore.Position{Revision: 7}, time.Minute)
 				c.Assert(err, qt.IsNil)
 				c.Assert(time.Since(start), qt.Equals, test.duration)
 				c.Assert(z.store.calls, qt.DeepEquals, test.calls)
@@ -163,7 +163,7 @@
 		c.Assert(listing.Revision, qt.Equals, uint64(7))
 		time.AfterFunc(100*time.Millisecond, func() { z.watcher.Apply(event("b", 8)) })
 		start := time.Now()
-		changes, err := z.source.Watch(t.Context(), "", listing.Revision, time.Minute)
+		changes, err := z.source.Watch(t.Context(), "", listing.Position(), time.Minute)
 		c.Assert(err, qt.IsNil)
 		c.Assert(time.Since(start), qt.Equals, 100*time.Millisecond)
 		c.Assert(changes.Events[0].Entry.Key, qt.Equals, "b")
@@ -234,7 +234,7 @@
 		defer cleanup()
 		z.watcher.Reset(pollenstore.Listing{Revision: 50})
 		z.watcher.SetLastContact(time.Now())
-		_, err := z.source.Watch(t.Context(), "", 7, time.Minute)
+		_, err := z.source.Watch(t.Context(), "", pollenstore.Position{Revision: 7}, time.Minute)
 		c.Assert(err, qt.ErrorAs, new(*pollenstore.CompactedError))
 	})
 }
@@ -249,13 +249,48 @@
 		z.watcher.SetLastContact(time.Now())
 		time.AfterFunc(100*time.Millisecond, func() { z.watcher.Apply(event("old", 9)) })
 		time.AfterFunc(200*time.Millisecond, func() { z.watcher.Apply(event("new", 12)) })
-		changes, err := z.source.Watch(t.Context(), "", 10, time.Minute)
+		changes, err := z.source.Watch(t.Context(), "", pollenstore.Position{Revision: 10}, time.Minute)
 		c.Assert(err, qt.IsNil)
 		c.Assert(changes.Revision, qt.Equals, uint64(12))
 		c.Assert(changes.Events, qt.HasLen, 1)
 	})
 }
 
+// Guards against a follower that waits for a revision which the store has lost, and one that goes back to the era before because
+// the watcher has not noticed the restore yet.
+func TestFollowerKeepsToNewestEra(t *testing.T) {
+	tests := []struct {
+		name    string
+		watcher pollenstore.Listing
+		after   pollenstore.Position
+		// gone is set if all keys must be read again, calls are those that reach the store itself.
+		gone  bool
+		calls []string
+	}{
+		{name: "same era", watcher: pollenstore.Listing{Revision: 8, Era: 1}, after: pollenstore.Position{Era: 1, Revision: 7}, gone: true},
+		{name: "watcher is of a later era", watcher: pollenstore.Listing{Revision: 5, Era: 2}, after: pollenstore.Position{Era: 1, Revision: 7}, gone: true},
+		{name: "watcher is of an earlier era", watcher: pollenstore.Listing{Revision: 9, Era: 1}, after: pollenstore.Position{Era: 2, Revision: 7}, calls: []string{"watch", "list"}},
+		{name: "watcher states no era", watcher: pollenstore.Listing{Revision: 7}, after: pollenstore.Position{Era: 2, Revision: 7}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				z, cleanup := newTestZone(t)
+				defer cleanup()
+				z.watcher.Reset(test.watcher)
+				z.watcher.SetLastContact(time.Now())
+				_, err := z.source.Watch(t.Context(), "", test.after, time.Minute)
+				c.Assert(pollenstore.HistoryGone(err), qt.Equals, test.gone)
+				z.watcher.SetLastContact(time.Now())
+				_, err = z.source.List(t.Context(), "")
+				c.Assert(err, qt.IsNil)
+				c.Assert(z.store.calls, qt.DeepEquals, test.calls)
+			})
+		})
+	}
+}
+
 // Load pattern: an instance restarts while the store is down. It must learn the keys from the seed that knows the newest
 // ones, also if that seed's replica is stale, and not wait for a seed that is gone or does not answer.
 func TestSeedsReturnNewestKeys(t *testing.T) {
--- a/pollen/pollenrelay/seeds.go
+++ b/pollen/pollenrelay/seeds.go
@@ -76,7 +76,7 @@
 	for range s.config.Addresses {
 		r := <-results
 		errs = errors.Join(errs, r.err)
-		if r.listing.Revision > newest.Revision {
+		if r.listing.Position().Newer(newest.Position()) {
 			newest = r.listing
 		}
 	}
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -25,8 +25,9 @@
 	Follower pollencatalog.Instance
 	// Standby is set if the follower is not registered.
 	Standby bool
-	// After is the revision up to which the follower has the events.
+	// After is the revision up to which the follower has the events, Era its era.
 	After uint64
+	Era   uint64
 	// Wait is how long the call may be held without an event.
 	Wait time.Duration
 }
@@ -35,7 +36,7 @@
 type Reply struct {
 	Listing pollenstore.Listing
 	Changes pollenstore.Changes
-	// Compacted is set if the replica no longer holds the events after the follower's revision.
+	// Compacted is set if the replica does not hold the events after the follower's position.
 	Compacted bool
 	// Stale is set if the watcher's replica must not be used: its last call of the store failed or is too long ago.
 	Stale bool
@@ -83,14 +84,14 @@
 // Reset replaces the replica by a listing if that is newer.
 func (s *Server) Reset(listing pollenstore.Listing) {
 	if !s.replica.Reset(listing) {
-		klog.InfoS("Listing is not newer than the relayed keys", "revision", listing.Revision, "era", listing.Era, "relayed", s.replica.Revision())
+		klog.InfoS("Listing is not newer than the relayed keys", "revision", listing.Revision, "era", listing.Era, "relayed", s.replica.Position())
 	}
 }
 
 // Apply applies the events that are newer than the replica.
 func (s *Server) Apply(changes pollenstore.Changes) {
 	if applied := s.replica.Apply(changes); len(applied) < len(changes.Events) {
-		klog.InfoS("Events are not newer than the relayed keys", "revision", changes.Revision, "era", changes.Era, "relayed", s.replica.Revision(),
+		klog.InfoS("Events are not newer than the relayed keys", "revision", changes.Revision, "era", changes.Era, "relayed", s.replica.Position(),
 			"events", len(changes.Events), "applied", len(applied))
 	}
 }
@@ -174,12 +175,12 @@
 // Watch waits for events after a revision and ranks the follower that calls.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
 	reply.Rank = s.server.updateRank(request.Follower, request.Standby)
-	if reply.Stale = s.server.stale(); reply.Stale {
+	after := pollenstore.Position{Era: request.Era, Revision: request.After}
+	if reply.Stale = s.server.stale() || s.server.replica.IsOfEarlierEra(after); reply.Stale {
 		return nil
 	}
-	var compacted *pollenstore.CompactedError
-	changes, err := s.server.replica.Watch(context.Background(), request.After, request.Wait)
-	if errors.As(err, &compacted) {
+	changes, err := s.server.replica.Watch(context.Background(), after, request.Wait)
+	if pollenstore.HistoryGone(err) {
 		reply.Compacted = true
 		return nil
 	}
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -21,8 +21,8 @@
 	ListStale(ctx context.Context, prefix string) (pollenstore.Listing, error)
 	// List returns all keys under a prefix.
 	List(ctx context.Context, prefix string) (pollenstore.Listing, error)
-	// Watch waits for events under a prefix after a revision, and returns none when wait has passed.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (pollenstore.Changes, error)
+	// Watch waits for events under a prefix after a position, and returns none when wait has passed.
+	Watch(ctx context.Context, prefix string, after pollenstore.Position, wait time.Duration) (pollenstore.Changes, error)
 }
 
 // SourceConfig holds the parameters of a Source.
@@ -56,7 +56,9 @@
 	watcher peerConn
 	// fallback is set while the source reads the store because the watcher failed or is stale.
 	fallback bool
-	rank     atomic.Int64
+	// newest is the latest position that the store or a watcher has answered with.
+	newest pollenstore.Position
+	rank   atomic.Int64
 }
 
 // NewSource returns a Source that is not connected to a watcher.
@@ -67,13 +69,13 @@
 // Rank returns the number of standby followers that come before this instance, by the watcher's last reply.
 func (s *Source) Rank() int { return int(s.rank.Load()) }
 
-// StaleError reports a watcher whose last call of the store failed or was answered too long ago.
+// StaleError reports a watcher whose last call of the store failed, was answered too long ago, or was answered in an earlier era.
 type StaleError struct {
 	Address netip.AddrPort
 }
 
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("watcher %v has had no recent answer from the store", e.Address)
+	return fmt.Sprintf("watcher %v has had no recent answer from the store, or none since it came back from a copy", e.Address)
 }
 
 // ListStale returns all keys under a prefix from the store, possibly as they were some seconds ago.
@@ -90,8 +92,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSlack)
 	defer cancel()
-	reply, err := s.watcher.call(ctx, address, methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision})
-	if err != nil || reply.Stale || reply.Compacted {
+	reply, err := s.watcher.call(ctx, address, methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era})
+	if err != nil || reply.Stale || reply.Compacted || !reply.Changes.Position().SameEra(listing.Position()) {
 		return pollenstore.Changes{}, false
 	}
 	s.rank.Store(int64(reply.Rank))
@@ -106,14 +108,16 @@
 	}
 	listing, err := s.config.Store.List(ctx, prefix)
 	s.recordContact(err)
+	s.newest = s.newest.Advance(listing.Position())
 	return listing, err
 }
 
-// Watch waits for events after a revision: for all events if the watcher answers, and for those under a prefix if the
+// Watch waits for events after a position: for all events if the watcher answers, and for those under a prefix if the
 // store does. It returns none when wait has passed, at the watcher after WatchWait at most.
-func (s *Source) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (pollenstore.Changes, error) {
+func (s *Source) Watch(ctx context.Context, prefix string, after pollenstore.Position, wait time.Duration) (pollenstore.Changes, error) {
+	s.newest = s.newest.Advance(after)
 	reply, ok := s.callWatcher(ctx, methodWatch, WatchRequest{
-		Follower: s.config.Self, Standby: s.config.Standby(), After: after, Wait: min(wait, s.config.WatchWait),
+		Follower: s.config.Self, Standby: s.config.Standby(), After: after.Revision, Era: after.Era, Wait: min(wait, s.config.WatchWait),
 	})
 	if ok {
 		s.rank.Store(int64(reply.Rank))
@@ -121,21 +125,24 @@
 	switch {
 	case ok && reply.Compacted:
 		// The reply doesn't state the oldest event kept, only that it is later than the revision.
-		return pollenstore.Changes{}, &pollenstore.CompactedError{Oldest: after + 1}
+		return pollenstore.Changes{}, &pollenstore.CompactedError{Oldest: after.Revision + 1}
 	case ok:
 		return reply.Changes, nil
 	case ctx.Err() != nil:
 		return pollenstore.Changes{}, ctx.Err()
 	}
 	changes, err := s.config.Store.Watch(ctx, prefix, after, wait)
+	var restored *pollenstore.RestoredError
+	if errors.As(err, &restored) {
+		s.newest = s.newest.Advance(pollenstore.Position{Era: restored.Era})
+	}
 	s.recordContact(err)
 	return changes, err
 }
 
 // recordContact reports the result of a call of the store to this instance's server.
 func (s *Source) recordContact(err error) {
-	var compacted *pollenstore.CompactedError
-	if err == nil || errors.As(err, &compacted) {
+	if err == nil || pollenstore.HistoryGone(err) {
 		s.config.Server.SetLastContact(time.Now())
 		return
 	}
@@ -153,13 +160,23 @@
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchWait+s.config.WatchSlack)
 	defer cancel()
 	reply, err := s.watcher.call(ctx, address, method, request)
-	if err == nil && reply.Stale {
+	if err == nil && (reply.Stale || s.isOfEarlierEra(reply)) {
 		err = &StaleError{Address: address}
 	}
 	s.setFallback(err != nil, err)
 	return reply, err == nil
 }
 
+// isOfEarlierEra reports whether a reply is of an earlier era than another one before it.
+func (s *Source) isOfEarlierEra(reply *Reply) bool {
+	position := reply.Changes.Position().Advance(reply.Listing.Position())
+	if !position.SameEra(s.newest) && s.newest.Newer(position) {
+		return true
+	}
+	s.newest = s.newest.Advance(position)
+	return false
+}
+
 // setFallback sets whether the store is read instead of the watcher, and logs each change.
 func (s *Source) setFallback(fallback bool, err error) {
 	if fallback && !s.fallback {
--- a/pollen/pollenreplica/replica.go
+++ b/pollen/pollenreplica/replica.go
@@ -13,14 +13,14 @@
 // Replica holds a copy of all keys under one prefix, and the recent changes.
 type Replica struct {
 	mu       sync.Mutex
-	revision uint64
-	// entries holds the keys' entries at the revision.
+	position pollenstore.Position
+	// entries holds the keys' entries at the position.
 	entries map[string]pollenstore.Entry
-	// events holds the changes after revision oldest, in order.
+	// events holds the changes after revision oldest, in order; they are all of the position's era.
 	events []pollenstore.Event
 	// oldest is the earliest revision that a watch can start from.
 	oldest uint64
-	// changed is closed and replaced when the revision increases.
+	// changed is closed and replaced when the position changes.
 	changed chan struct{}
 }
 
@@ -33,7 +33,7 @@
 func (r *Replica) Reset(listing pollenstore.Listing) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if listing.Revision <= r.revision {
+	if !listing.Position().Newer(r.position) {
 		return false
 	}
 	r.entries = make(map[string]pollenstore.Entry, len(listing.Entries))
@@ -42,17 +42,21 @@
 	}
 	r.events = nil
 	r.oldest = listing.Revision
-	r.setRevisionLocked(listing.Revision)
+	r.setPositionLocked(r.position.Advance(listing.Position()))
 	return true
 }
 
-// Apply applies the changes that are newer than the replica's revision and returns their events.
+// Apply applies the changes that are newer than the replica's position and returns their events. Changes of another era are
+// ignored: without a listing of that era it is not known what they follow.
 func (r *Replica) Apply(changes pollenstore.Changes) []pollenstore.Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var applied []pollenstore.Event
+	if !changes.Position().SameEra(r.position) {
+		return applied
+	}
 	for _, event := range changes.Events {
-		if event.Entry.Version <= r.revision {
+		if event.Entry.Version <= r.position.Revision {
 			continue
 		}
 		if event.Deleted {
@@ -68,8 +72,8 @@
 		r.oldest = r.events[dropped-1].Entry.Version
 		r.events = append([]pollenstore.Event(nil), r.events[dropped:]...)
 	}
-	if changes.Revision > r.revision {
-		r.setRevisionLocked(changes.Revision)
+	if changes.Revision > r.position.Revision {
+		r.setPositionLocked(r.position.Advance(changes.Position()))
 	}
 	return applied
 }
@@ -85,14 +89,27 @@
 func (r *Replica) Revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.position.Revision
+}
+
+// Position returns the store position of the replica.
+func (r *Replica) Position() pollenstore.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position
+}
+
+// IsOfEarlierEra reports whether a position is of a later era than the replica.
+func (r *Replica) IsOfEarlierEra(position pollenstore.Position) bool {
+	own := r.Position()
+	return !own.SameEra(position) && position.Newer(own)
 }
 
 // List returns the entries whose keys have a prefix, ordered by key.
 func (r *Replica) List(prefix string) pollenstore.Listing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	listing := pollenstore.Listing{Revision: r.revision}
+	listing := pollenstore.Listing{Revision: r.position.Revision, Era: r.position.Era}
 	for key, entry := range r.entries {
 		if strings.HasPrefix(key, prefix) {
 			listing.Entries = append(listing.Entries, entry)
@@ -102,15 +119,16 @@
 	return listing
 }
 
-// Watch returns the changes after a revision; if there are none, it waits for one at most the given time.
+// Watch returns the changes after a position; if there are none, it waits for one at most the given time.
 //
-// It returns a *pollenstore.CompactedError if the replica no longer holds the changes, or ctx.Err() if ctx is done.
-func (r *Replica) Watch(ctx context.Context, after uint64, wait time.Duration) (pollenstore.Changes, error) {
+// It returns a *pollenstore.CompactedError if the replica no longer holds the changes, a *pollenstore.RestoredError if it is of
+// another era than the position, or ctx.Err() if ctx is done.
+func (r *Replica) Watch(ctx context.Context, after pollenstore.Position, wait time.Duration) (pollenstore.Changes, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		changes, changed, err := r.changesSince(after)
-		if err != nil || changes.Revision > after {
+		if err != nil || changes.Revision > after.Revision {
 			return changes, err
 		}
 		select {
@@ -126,21 +144,24 @@
 // maxEvents bounds the number of stored changes; the older half is dropped when it is exceeded.
 const maxEvents = 4096
 
-// changesSince returns the changes after a revision and a channel that is closed on the next change.
-func (r *Replica) changesSince(after uint64) (pollenstore.Changes, <-chan struct{}, error) {
+// changesSince returns the changes after a position and a channel that is closed on the next change.
+func (r *Replica) changesSince(after pollenstore.Position) (pollenstore.Changes, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if after < r.oldest {
+	if !after.SameEra(r.position) {
+		return pollenstore.Changes{}, nil, &pollenstore.RestoredError{Before: after.Era, Era: r.position.Era}
+	}
+	if after.Revision < r.oldest {
 		return pollenstore.Changes{}, nil, &pollenstore.CompactedError{Oldest: r.oldest}
 	}
-	first := sort.Search(len(r.events), func(i int) bool { return r.events[i].Entry.Version > after })
+	first := sort.Search(len(r.events), func(i int) bool { return r.events[i].Entry.Version > after.Revision })
 	events := append([]pollenstore.Event(nil), r.events[first:]...)
-	return pollenstore.Changes{Events: events, Revision: r.revision}, r.changed, nil
+	return pollenstore.Changes{Events: events, Revision: r.position.Revision, Era: r.position.Era}, r.changed, nil
 }
 
-// setRevisionLocked sets the revision and wakes all watches.
-func (r *Replica) setRevisionLocked(revision uint64) {
-	r.revision = revision
+// setPositionLocked sets the position and wakes all watches.
+func (r *Replica) setPositionLocked(position pollenstore.Position) {
+	r.position = position
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
--- a/pollen/pollenreplica/replica_test.go
+++ b/pollen/pollenreplica/replica_test.go
@@ -36,10 +36,10 @@
 			time.Sleep(time.Second)
 			r.Apply(pollenstore.Changes{Events: []pollenstore.Event{put("a", "x", 1)}, Revision: 1})
 		}()
-		changes, err := r.Watch(context.Background(), 0, time.Minute)
+		changes, err := r.Watch(context.Background(), pollenstore.Position{}, time.Minute)
 		c.Assert(err, qt.IsNil)
 		c.Check(changes.Events, qt.HasLen, 1)
-		changes, err = r.Watch(context.Background(), 1, time.Minute)
+		changes, err = r.Watch(context.Background(), pollenstore.Position{Revision: 1}, time.Minute)
 		c.Assert(err, qt.IsNil)
 		c.Check(changes.Events, qt.HasLen, 0)
 	})
@@ -49,7 +49,66 @@
 func TestWatchAfterCompactedRevisionFails(t *testing.T) {
 	r := New()
 	r.Reset(pollenstore.Listing{Revision: 10})
-	_, err := r.Watch(context.Background(), 3, time.Second)
+	_, err := r.Watch(context.Background(), pollenstore.Position{Revision: 3}, time.Second)
 	var compacted *pollenstore.CompactedError
 	qt.Assert(t, err, qt.ErrorAs, &compacted)
 }
+
+// Guards against a replica that keeps what a restored store has lost, or mixes changes of two eras.
+func TestRestoredStoreReplacesReplica(t *testing.T) {
+	lost, kept, again := put("a", "lost", 76), put("b", "kept", 75), put("a", "again", 76)
+	tests := []struct {
+		name   string
+		listed pollenstore.Listing
+		reset  bool
+		after  pollenstore.Changes
+		want   map[string]string
+		// gone is set if a watch from the position before must fail.
+		gone bool
+	}{
+		{
+			"later era", pollenstore.Listing{Entries: []pollenstore.Entry{kept.Entry}, Revision: 75, Era: 2}, true,
+			pollenstore.Changes{Events: []pollenstore.Event{again}, Revision: 76, Era: 2}, map[string]string{"a": "again", "b": "kept"}, true,
+		},
+		{
+			"era not stated", pollenstore.Listing{Revision: 90}, true,
+			pollenstore.Changes{Events: []pollenstore.Event{put("c", "new", 91)}, Revision: 91, Era: 1}, map[string]string{"c": "new"}, true,
+		},
+		{
+			"changes of a later era without a listing", pollenstore.Listing{Revision: 76, Era: 1}, false,
+			pollenstore.Changes{Events: []pollenstore.Event{put("c", "new", 77)}, Revision: 77, Era: 2}, map[string]string{"a": "lost", "b": "kept"}, false,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := New()
+			r.Reset(pollenstore.Listing{Entries: []pollenstore.Entry{lost.Entry, kept.Entry}, Revision: 76, Era: 1})
+			c.Assert(r.Reset(test.listed), qt.Equals, test.reset)
+			r.Apply(test.after)
+			got := make(map[string]string)
+			for _, entry := range r.List("").Entries {
+				got[entry.Key] = string(entry.Value)
+			}
+			c.Assert(got, qt.DeepEquals, test.want)
+			_, err := r.Watch(t.Context(), pollenstore.Position{Era: 1, Revision: 76}, 0)
+			c.Assert(pollenstore.HistoryGone(err), qt.Equals, test.gone)
+		})
+	}
+}
+
+// Guards against a watch that goes on waiting for a revision of an era that is over.
+func TestWatchEndsWhenStoreIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New()
+		r.Reset(pollenstore.Listing{Revision: 76, Era: 1})
+		go func() {
+			time.Sleep(time.Second)
+			r.Reset(pollenstore.Listing{Revision: 75, Era: 2})
+		}()
+		start := time.Now()
+		_, err := r.Watch(t.Context(), pollenstore.Position{Era: 1, Revision: 76}, time.Minute)
+		qt.Assert(t, err, qt.ErrorAs, new(*pollenstore.RestoredError))
+		qt.Assert(t, time.Since(start), qt.Equals, time.Second)
+	})
+}
