Hold back what a store's copy says of servers and zones that have changed since

Found while looking for the same class of fault elsewhere: a listing after the restore was taken for the newest state. Servers that were draining or gone when the store was lost, and servers of an evacuated zone, would get requests until their owners have written again; new servers would get none.

Change: for the grace period of an outage after the first listing of a later era, a draining server stays draining, a deleted server or instance stays deleted, and keys that the copy lacks stay, evacuated zones among them. What is written again counts at once, the rest after the grace period.

--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -74,6 +74,7 @@
 	recoveredAt time.Time
 	// departedAt holds when each instance left, by name.
 	departedAt map[string]time.Time
+	restore    restoreState
 }
 
 // keyState is the state of a key that names a server, an instance or an evacuated zone.
@@ -81,11 +82,13 @@
 	record Record
 	// missing is set while the store no longer has the key and the view retains it.
 	missing bool
+	// restored is what a store that came back from a copy has for the key, if the view knows better; nil if not.
+	restored *Record
 }
 
 // New returns a view without keys, whose table is empty.
 func New(config Config) *View {
-	v := &View{config: config, keys: make(map[string]*keyState), departedAt: make(map[string]time.Time)}
+	v := &View{config: config, keys: make(map[string]*keyState), departedAt: make(map[string]time.Time), restore: newRestoreState()}
 	v.table.Store(pollencatalog.NewTable(pollencatalog.TableConfig{}))
 	return v
 }
@@ -133,13 +136,20 @@
 }
 
 func (v *View) replaceKeys(listing pollenstore.Listing, now time.Time) {
+	if v.restore.notice(listing.Position(), now) {
+		klog.InfoS("Store came back from a copy", "revision", listing.Revision, "era", listing.Era, "version", v.configurationVersion())
+	}
 	listed := make(map[string]bool, len(listing.Entries))
 	for _, entry := range listing.Entries {
 		listed[entry.Key] = true
-		v.putKey(entry, now)
+		v.putListedKey(entry, now)
 	}
-	for key := range v.keys {
-		if !listed[key] {
+	for key, k := range v.keys {
+		switch {
+		case listed[key]:
+		case v.inRestoreGracePeriod(now):
+			k.missing = true
+		default:
 			v.removeKey(key, now)
 		}
 	}
@@ -198,16 +208,20 @@
 
 func (v *View) deleteKey(key string, now time.Time) {
 	k := v.keys[key]
+	delete(v.keys, key)
+	if k.record == (Record{}) {
+		return
+	}
+	v.restore.recordDeletion(key, k.record, now)
 	if k.record.Instance != nil {
 		v.departedAt[k.record.Instance.Name] = now
 	}
 	v.logRecord("Key gone", key, 0, k.record)
-	delete(v.keys, key)
 }
 
-// inGracePeriod reports whether the store is unavailable or has recovered less than GracePeriod ago.
+// inGracePeriod reports whether the store is unavailable, or has recovered or come back from a copy less than GracePeriod ago.
 func (v *View) inGracePeriod(now time.Time) bool {
-	return v.storeUnavailable || (!v.recoveredAt.IsZero() && now.Before(v.recoveredAt.Add(v.config.GracePeriod)))
+	return v.storeUnavailable || v.inRestoreGracePeriod(now) || (!v.recoveredAt.IsZero() && now.Before(v.recoveredAt.Add(v.config.GracePeriod)))
 }
 
 // expireKeys deletes missing keys after the grace period and departed instances after their retention, and reports
@@ -219,9 +233,14 @@
 			if k.missing {
 				v.deleteKey(key, now)
 				changed = true
+			} else if k.restored != nil {
+				v.keys[key] = &keyState{record: *k.restored}
+				v.logRecord("Key written", key, 0, *k.restored)
+				changed = true
 			}
 		}
 	}
+	v.restore.forgetDeletions(now)
 	for name, departedAt := range v.departedAt {
 		if now.Sub(departedAt) > v.config.DepartedRetention {
 			delete(v.departedAt, name)
--- a/pollen/pollenview/view_test.go
+++ b/pollen/pollenview/view_test.go
@@ -55,6 +55,13 @@
 	return l
 }
 
+// listingOfEra returns a listing of an era of the store.
+func listingOfEra(era uint64, keys ...string) StoreListed {
+	l := listing(keys...)
+	l.Listing.Era = era
+	return l
+}
+
 func entry(key string) pollenstore.Entry {
 	key, value, _ := strings.Cut(key, "=")
 	return pollenstore.Entry{Key: key, Value: []byte(value)}
@@ -81,9 +88,57 @@
 	return fmt.Sprintf("v%d servers=%s instances=%d sharers=%d", version, strings.Join(names, ","), len(t.Instances()), t.SharerCount())
 }
 
+// testMessages checks the table after messages and pauses.
+func testMessages(t *testing.T, messages []any, want string) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newTestView()
+		for _, message := range messages {
+			if d, ok := message.(elapse); ok {
+				time.Sleep(time.Duration(d))
+				continue
+			}
+			v.Receive(message)
+		}
+		qt.Assert(t, summarize(v.Table()), qt.Equals, want)
+	})
+}
+
 // elapse is a pause between two messages.
 type elapse time.Duration
 
+// Guards against what a store's copy says of servers and zones that have changed since, until its owners had time to write again.
+func TestTableAfterRestore(t *testing.T) {
+	before := listingOfEra(1, "config=5", "server/a", "server/b", "server/c")
+	tests := []struct {
+		name     string
+		messages []any
+		want     string
+	}{
+		{"draining server stays draining", []any{before, keyWritten("server/a=leaving"), listingOfEra(2, "config=5", "server/a", "server/b", "server/c")}, "v5 servers=b,c instances=0 sharers=1"},
+		{"deleted server stays deleted", []any{before, keyDeleted("server/a"), listingOfEra(2, "config=5", "server/a", "server/b", "server/c")}, "v5 servers=b,c instances=0 sharers=1"},
+		{"deleted instance stays deleted", []any{
+			listingOfEra(1, "instance/x", "instance/y"), keyDeleted("instance/x"), listingOfEra(2, "instance/x", "instance/y"),
+		}, "v0 servers= instances=1 sharers=2"},
+		{"evacuated zone stays evacuated", []any{before, keyWritten("zone/z"), listingOfEra(2, "config=5", "server/a")}, "v5 servers= instances=0 sharers=1"},
+		{"new server stays", []any{before, keyWritten("server/d"), listingOfEra(2, "config=5", "server/a", "server/b", "server/c")}, "v5 servers=a,b,c,d instances=0 sharers=1"},
+		{"newer configuration stays in force", []any{before, keyWritten("config=6"), listingOfEra(2, "config=5", "server/a")}, "v6 servers=a,b,c instances=0 sharers=1"},
+		{"what is written again counts at once", []any{
+			before, keyWritten("server/a=leaving"), keyDeleted("server/b"), keyWritten("zone/z"), listingOfEra(2, "config=5", "server/a", "server/b", "server/c"),
+			keyWritten("server/a"), keyWritten("server/b"), keyWritten("zone/z"), keyDeleted("zone/z"),
+		}, "v5 servers=a,b,c instances=0 sharers=1"},
+		{"what is not written again is as the store says", []any{
+			before, keyWritten("server/a=leaving"), keyDeleted("server/b"), keyWritten("zone/z"), listingOfEra(2, "config=5", "server/a", "server/b"),
+			elapse(2100 * time.Millisecond), Tick{},
+		}, "v5 servers=a,b instances=0 sharers=1"},
+		{"server deleted long before", []any{before, keyDeleted("server/a"), elapse(time.Minute), Tick{}, listingOfEra(2, "server/a")}, "v5 servers=a,b,c instances=0 sharers=1"},
+		{"listing of the same era", []any{before, keyWritten("server/a=leaving"), keyDeleted("server/b"), listingOfEra(1, "server/a", "server/b")}, "v5 servers=a,b instances=0 sharers=1"},
+		{"era not stated", []any{before, keyDeleted("server/a"), listingOfEra(0, "server/a")}, "v5 servers=a instances=0 sharers=1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { testMessages(t, test.messages, test.want) })
+	}
+}
+
 // Guards against requests to servers that are gone, and against dropping servers whose keys expired in an outage.
 func TestTableAfterMessages(t *testing.T) {
 	tests := []struct {
@@ -124,18 +179,6 @@
 		{"returned instance counts once", []any{listing("instance/x", "instance/y"), keyDeleted("instance/x"), keyWritten("instance/x")}, "v0 servers= instances=2 sharers=2"},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				v := newTestView()
-				for _, message := range test.messages {
-					if d, ok := message.(elapse); ok {
-						time.Sleep(time.Duration(d))
-						continue
-					}
-					v.Receive(message)
-				}
-				qt.Assert(t, summarize(v.Table()), qt.Equals, test.want)
-			})
-		})
+		t.Run(test.name, func(t *testing.T) { testMessages(t, test.messages, test.want) })
 	}
 }
