Let the soak's store come back from a copy, with what was written since written again

A fault kind whose copy is as old as the fault is long; the promise InForce and the others hold on it.

--- a/pollen/pollenfakestore/store.go
+++ b/pollen/pollenfakestore/store.go
@@ -200,11 +200,25 @@
 	return copied
 }
 
+// Lost holds the entries of keys that were written since a copy; those of deleted keys have no value and version zero.
+type Lost map[string]pollenstore.Entry
+
 // Restore replaces the store's content by a copy: what was written since is lost, and its revisions are given out again. The
-// copy's leases begin anew.
-func (s *Store) Restore(copied Copy) {
+// copy's leases begin anew. It returns what was lost.
+func (s *Store) Restore(copied Copy) Lost {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	lost := make(Lost)
+	for key, entry := range s.entries {
+		if entry.Version > copied.revision {
+			lost[key] = entry
+		}
+	}
+	for key := range copied.entries {
+		if _, ok := s.entries[key]; !ok {
+			lost[key] = pollenstore.Entry{Key: key}
+		}
+	}
 	s.era++
 	s.revision, s.entries = copied.revision, maps.Clone(copied.entries)
 	for _, l := range s.leases {
@@ -217,6 +231,24 @@
 	s.events, s.compactedRevision = nil, s.revision
 	close(s.nextEvent)
 	s.nextEvent = make(chan struct{})
+	return lost
+}
+
+// Rewrite writes again what was lost under a prefix, except for keys that were written since the store was restored from the
+// copy, and keys whose lease was lost.
+func (s *Store) Rewrite(lost Lost, copied Copy, prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, entry := range lost {
+		switch {
+		case !strings.HasPrefix(key, prefix) || s.entries[key].Version > copied.revision:
+		case entry.Version == 0:
+			s.deleteLocked(key)
+		default:
+			// A key without its lease is written again by its owner, who registers again.
+			_ = s.putLocked(key, entry.Value, entry.Lease)
+		}
+	}
 }
 
 // Era returns how often the store was restored from a copy.
--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -81,8 +81,9 @@
 	// moved is set while the moving route leads to the second plain service.
 	moved   bool
 	version uint64
-	// deployMu orders the configuration versions; reshardMu and evacuateMu serialise resharding and evacuation.
-	deployMu, reshardMu, evacuateMu sync.Mutex
+	// deployMu orders the configuration versions; reshardMu, evacuateMu and restoreMu serialise resharding, evacuation and restores
+	// of the store.
+	deployMu, reshardMu, evacuateMu, restoreMu sync.Mutex
 }
 
 func newCluster(program, directory string, seed uint64, instances int) (*cluster, error) {
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -35,6 +35,7 @@
 	{"store-slow", "the store delays all calls", storeFault(pollenfakestore.Faults{Delay: 250 * time.Millisecond})},
 	{"store-answers-lost", "the store applies writes and loses the responses", storeFault(pollenfakestore.Faults{LoseAnswers: true})},
 	{"store-compacted", "the store compacts its history", injectCompaction},
+	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
 	{"server-killed", "a server is killed and a replacement starts", injectServerKill},
 	{"server-drained", "a server is drained and a replacement starts", injectServerDrain},
 	{"servers-slow", "some servers respond slowly", serverFault(0.25, pollenfakeplatform.ServerFaults{SlowFactor: 8})},
@@ -135,6 +136,31 @@
 	return nil
 }
 
+const (
+	// restoreOutage is how long a store is down before it comes back from a copy.
+	restoreOutage = 300 * time.Millisecond
+	// maxRewriteDelay bounds how long the operator and the servers take to write again.
+	maxRewriteDelay = 800 * time.Millisecond
+)
+
+// injectRestore restores the store from a copy that is as old as the fault's duration.
+func injectRestore(_ context.Context, c *cluster, random *rand.Rand, duration time.Duration) error {
+	c.restoreMu.Lock()
+	defer c.restoreMu.Unlock()
+	copied := c.store.Copy()
+	time.Sleep(duration)
+	defer c.record.beginDisturbance(allInstances, disturbsStore)()
+	c.store.SetFaults(pollenfakestore.Faults{Down: true})
+	time.Sleep(restoreOutage)
+	lost := c.store.Restore(copied)
+	c.store.SetFaults(pollenfakestore.Faults{})
+	time.Sleep(time.Duration(random.Int64N(int64(maxRewriteDelay))))
+	for _, prefix := range []string{"op/", "servers/"} {
+		c.store.Rewrite(lost, copied, prefix)
+	}
+	return nil
+}
+
 func injectServerKill(_ context.Context, c *cluster, random *rand.Rand, duration time.Duration) error {
 	defer c.record.beginDisturbance(allInstances, disturbsRequests)()
 	b := c.removeRandomServer(random)
