Give instances on standby no share of a server's stated limit

Cause: 84 of 90 instances are not registered, and every one of them gets a few requests. Each took a share as if it were the only one beside the six registered.

Change: an instance that is not in the table only probes, in turn with the other ones on standby. The zone's watcher, which ranks them already, also tells how many they are.

--- a/pollen/pollenforward/harness_test.go
+++ b/pollen/pollenforward/harness_test.go
@@ -112,7 +112,7 @@
 		ranking:   pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(1, 2))}),
 	}
 	h.forwarder = New(Config{
-		Exchanger: h.exchanger, Ranking: h.ranking, ColdLimiter: pollenramp.New(pollenramp.Config{InstanceName: "entry-1"}), Quotas: pollenquota.New(pollenquota.Config{InstanceName: "entry-1"}), CallerRoundTrip: 10 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond,
+		Exchanger: h.exchanger, Ranking: h.ranking, ColdLimiter: pollenramp.New(pollenramp.Config{InstanceName: "entry-1"}), Quotas: pollenquota.New(pollenquota.Config{InstanceName: "entry-1", Standbys: func() int { return 0 }}), CallerRoundTrip: 10 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond,
 		Budget:   pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}),
 		Table:    func() *pollencatalog.Table { return h.table },
 		Splitter: &Splitter{},
--- a/pollen/pollenforward/overload_test.go
+++ b/pollen/pollenforward/overload_test.go
@@ -138,7 +138,7 @@
 	for i := range overloadInstances {
 		h.forwarders = append(h.forwarders, New(Config{
 			Exchanger: h.exchanger, Ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(seed, uint64(i)))}),
-			ColdLimiter: pollenramp.New(pollenramp.Config{}), Quotas: pollenquota.New(pollenquota.Config{}), CallerRoundTrip: 10 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond,
+			ColdLimiter: pollenramp.New(pollenramp.Config{}), Quotas: pollenquota.New(pollenquota.Config{Standbys: func() int { return 0 }}), CallerRoundTrip: 10 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond,
 			Budget:   pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}),
 			Table:    func() *pollencatalog.Table { return table },
 			Splitter: &Splitter{},
--- a/pollen/pollenforward/quota_test.go
+++ b/pollen/pollenforward/quota_test.go
@@ -80,7 +80,7 @@
 		name := config.Instances[i].Name
 		forwarders[i] = New(Config{
 			Exchanger: exchanger, Ranking: pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(uint64(i), 1))}),
-			ColdLimiter: pollenramp.New(pollenramp.Config{InstanceName: name}), Quotas: pollenquota.New(pollenquota.Config{InstanceName: name}),
+			ColdLimiter: pollenramp.New(pollenramp.Config{InstanceName: name}), Quotas: pollenquota.New(pollenquota.Config{InstanceName: name, Standbys: func() int { return 0 }}),
 			Budget:          pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}),
 			Table:           func() *pollencatalog.Table { return table },
 			CallerRoundTrip: 10 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond, Splitter: &Splitter{},
--- a/pollen/pollenquota/quota.go
+++ b/pollen/pollenquota/quota.go
@@ -18,10 +18,12 @@
 	PerSecond float64
 }
 
-// Config identifies the instance that uses Quotas.
+// Config holds the parameters of Quotas.
 type Config struct {
 	// InstanceName is the name of this instance.
 	InstanceName string
+	// Standbys returns the number of instances in the fleet that are not registered, as far as it is known.
+	Standbys func() int
 }
 
 // Quotas holds the limits that servers state, and this instance's requests to these servers.
@@ -44,10 +46,11 @@
 	// lastSend is when the last request was sent; before the first one, it is set such that the first one waits for the
 	// share's delay.
 	lastSend time.Time
-	// share is this instance's share of limit by dividedBy.
-	share     share
-	dividedBy *pollencatalog.Table
-	sends     sendCounts
+	// share is this instance's share of the limit, as worked out from dividedBy and dividedStandbys.
+	share           share
+	dividedBy       *pollencatalog.Table
+	dividedStandbys int
+	sends           sendCounts
 }
 
 // sendCounts counts requests to a limited server since a time; extra are the hedges and retries among them.
@@ -78,7 +81,7 @@
 	switch {
 	case limit.Stated:
 		if !ok {
-			first := divide(limit.PerSecond, server, table, q.config.InstanceName)
+			first := q.divide(limit.PerSecond, server, table)
 			s = &quota{lastSend: now.Add(first.delay - first.interval), sends: sendCounts{since: now}}
 			q.servers[server.Incarnation()] = s
 		}
@@ -132,8 +135,8 @@
 	if !ok || !s.limit.Stated {
 		return now
 	}
-	if s.dividedBy != table {
-		s.share, s.dividedBy = divide(s.limit.PerSecond, server, table, q.config.InstanceName), table
+	if standbys := q.config.Standbys(); s.dividedBy != table || s.dividedStandbys != standbys {
+		s.share, s.dividedBy, s.dividedStandbys = q.divide(s.limit.PerSecond, server, table), table, standbys
 	}
 	next := s.lastSend.Add(s.share.interval)
 	if s.share.probe && now.Sub(next) >= probeWindow {
--- a/pollen/pollenquota/quota_test.go
+++ b/pollen/pollenquota/quota_test.go
@@ -32,24 +32,26 @@
 		name      string
 		instances int
 		perSecond float64
-		// extra is the number of instances, such as starting ones, that are not in the table.
-		extra int
+		// standbys is the number of instances that are not registered.
+		standbys int
 	}{
 		{name: "no requests", instances: 15, perSecond: 0},
 		{name: "one request a second", instances: 15, perSecond: 1.2},
 		{name: "many instances", instances: 300, perSecond: 2},
 		{name: "two instances", instances: 2, perSecond: 3},
 		{name: "large limit", instances: 9, perSecond: 300},
-		{name: "instance that is not registered", instances: 8, perSecond: 5, extra: 1},
-		{name: "no instance is registered", instances: 0, perSecond: 5, extra: 1},
+		{name: "one standby", instances: 8, perSecond: 5, standbys: 1},
+		{name: "many standbys", instances: 6, perSecond: 2.7, standbys: 84},
+		{name: "hundreds of standbys", instances: 15, perSecond: 1.2, standbys: 280},
+		{name: "no instance is registered", instances: 0, perSecond: 5, standbys: 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			table, server := testTable(test.instances), testServer("i-1")
 			var all []*Quotas
-			for n := range test.instances + test.extra {
-				q := New(Config{InstanceName: fmt.Sprintf("entry-%d", n)})
+			for n := range test.instances + test.standbys {
+				q := New(Config{InstanceName: fmt.Sprintf("entry-%d", n), Standbys: func() int { return test.standbys }})
 				q.RecordAnswer(server, Limit{Stated: true, PerSecond: test.perSecond}, table, start, start)
 				all = append(all, q)
 			}
@@ -101,7 +103,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			q, table := New(Config{InstanceName: "entry-0"}), testTable(1)
+			q, table := New(Config{InstanceName: "entry-0", Standbys: func() int { return 0 }}), testTable(1)
 			for _, a := range test.answers {
 				q.RecordAnswer(a.server, a.limit, table, start.Add(a.sentAt), start.Add(a.received))
 			}
--- a/pollen/pollenquota/share.go
+++ b/pollen/pollenquota/share.go
@@ -1,6 +1,7 @@
 package pollenquota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,9 +16,10 @@
 	// and a server may get at most half of its rate and five requests more in any four seconds.
 	minSenders        = 3
 	sendersPerRequest = 2
-	// probeInterval is the mean time between two requests from all instances that have no share of the rate. Their requests
-	// show them the end of the limit.
-	probeInterval = 4 * time.Second
+	// probeInterval is the mean time between two requests from all registered instances that have no share of the rate, and
+	// standbyProbeInterval that from all instances that are not registered. Their requests show them the end of the limit.
+	probeInterval        = 4 * time.Second
+	standbyProbeInterval = 8 * time.Second
 	// probeWindow is how long an instance without a share may use its turn.
 	probeWindow = time.Second
 )
@@ -32,21 +34,30 @@
 	probe bool
 }
 
-// divide returns the share of an instance in the rate of a server.
-func divide(perSecond float64, server *pollencatalog.Server, table *pollencatalog.Table, instanceName string) share {
+// divide returns an instance's share of the rate of a server.
+//
+// Load pattern: hundreds of instances stand by, and each gets a few requests. Only registered instances have a share.
+func (q *Quotas) divide(perSecond float64, server *pollencatalog.Server, table *pollencatalog.Table) share {
 	perSecond = max(perSecond, minPerSecond)
+	instances := table.Instances()
+	isRegistered := slices.ContainsFunc(instances, func(i pollencatalog.Instance) bool { return i.Name == q.config.InstanceName })
+	if !isRegistered && len(instances) > 0 {
+		return probeShare(standbyProbeInterval, int(senderHash(q.config.InstanceName, server)>>1), q.config.Standbys())
+	}
 	sharers := table.SharerCount()
 	senders := min(sharers, minSenders+int(sendersPerRequest*perSecond))
-	position := countPreceding(table.Instances(), server, instanceName)
-	if position < senders {
-		interval := time.Duration(float64(senders) / perSecond * float64(time.Second))
-		return share{interval: interval, delay: interval * time.Duration(position+1) / time.Duration(senders)}
-	}
-	probers := max(sharers-senders, 1)
-	return share{
-		interval: probeInterval * time.Duration(probers),
-		delay:    probeInterval * time.Duration(1+(position-senders)%probers), probe: true,
+	position := countPreceding(instances, server, q.config.InstanceName)
+	if position >= senders {
+		return probeShare(probeInterval, position-senders, sharers-senders)
 	}
+	interval := time.Duration(float64(senders) / perSecond * float64(time.Second))
+	return share{interval: interval, delay: interval * time.Duration(position+1) / time.Duration(senders)}
+}
+
+// probeShare returns the share of one of several probers, which take turns.
+func probeShare(interval time.Duration, position, probers int) share {
+	probers = max(probers, 1)
+	return share{interval: interval * time.Duration(probers), delay: interval * time.Duration(1+position%probers), probe: true}
 }
 
 // countPreceding returns how many other instances come before an instance in the server's order of senders.
--- a/pollen/pollenrelay/relay_test.go
+++ b/pollen/pollenrelay/relay_test.go
@@ -171,6 +171,13 @@
 	})
 }
 
+// checkRank checks what a standby follower's call returns.
+func checkRank(c *qt.C, s *Server, instance pollencatalog.Instance, wantRank, wantStandbys int) {
+	rank, standbys := s.updateRank(instance, true)
+	c.Assert(rank, qt.Equals, wantRank)
+	c.Assert(standbys, qt.Equals, wantStandbys)
+}
+
 // Guards against ranks that count followers which no longer call or don't stand by.
 func TestRankCountsLiveStandbyFollowers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -178,14 +185,14 @@
 		s := NewServer(ServerConfig{})
 		large := pollencatalog.Instance{Name: "large", Processor: 0.8}
 		small := pollencatalog.Instance{Name: "small", Processor: 0.2}
-		c.Assert(s.updateRank(small, true), qt.Equals, 0)
-		c.Assert(s.updateRank(large, true), qt.Equals, 0)
-		c.Assert(s.updateRank(small, true), qt.Equals, 1)
+		checkRank(c, s, small, 0, 1)
+		checkRank(c, s, large, 0, 2)
+		checkRank(c, s, small, 1, 2)
 		s.updateRank(large, false)
-		c.Assert(s.updateRank(small, true), qt.Equals, 0)
+		checkRank(c, s, small, 0, 1)
 		s.updateRank(large, true)
 		time.Sleep(followerTimeout + time.Millisecond)
-		c.Assert(s.updateRank(small, true), qt.Equals, 0)
+		checkRank(c, s, small, 0, 1)
 	})
 }
 
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -40,8 +40,8 @@
 	Compacted bool
 	// Stale is set if the watcher's replica must not be used: its last call of the store failed or is too long ago.
 	Stale bool
-	// Rank is the number of standby followers that come before this one.
-	Rank int
+	// Rank is the number of standby followers that come before this one, Standbys that of all standby followers.
+	Rank, Standbys int
 }
 
 // ServerConfig holds the parameters of a Server.
@@ -135,22 +135,25 @@
 // followerTimeout is how long a follower that no longer calls keeps its rank; followers call about twice a second.
 const followerTimeout = 3 * time.Second
 
-// updateRank records a follower's call and returns the number of standby followers that come before it.
-func (s *Server) updateRank(instance pollencatalog.Instance, standby bool) int {
+// updateRank records a follower's call, and returns the number of standby followers that come before it and that of all standby
+// followers.
+func (s *Server) updateRank(instance pollencatalog.Instance, standby bool) (rank, standbys int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.followers[instance.Name] = follower{instance: instance, standby: standby, lastSeen: now}
-	rank := 0
 	for name, f := range s.followers {
 		switch {
 		case now.Sub(f.lastSeen) > followerTimeout:
 			delete(s.followers, name)
-		case f.standby && pollenroster.Compare(f.instance, instance) < 0:
-			rank++
+		case f.standby:
+			standbys++
+			if pollenroster.Compare(f.instance, instance) < 0 {
+				rank++
+			}
 		}
 	}
-	return rank
+	return rank, standbys
 }
 
 // service holds the methods that net/rpc calls.
@@ -174,7 +177,7 @@
 
 // Watch waits for events after a revision and ranks the follower that calls.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
-	reply.Rank = s.server.updateRank(request.Follower, request.Standby)
+	reply.Rank, reply.Standbys = s.server.updateRank(request.Follower, request.Standby)
 	after := pollenstore.Position{Era: request.Era, Revision: request.After}
 	if reply.Stale = s.server.stale() || s.server.replica.IsOfEarlierEra(after); reply.Stale {
 		return nil
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -59,6 +59,8 @@
 	// newest is the latest position that the store or a watcher has answered with.
 	newest pollenstore.Position
 	rank   atomic.Int64
+	// standbys is the number of standby instances of the zone.
+	standbys atomic.Int64
 }
 
 // NewSource returns a Source that is not connected to a watcher.
@@ -69,6 +71,9 @@
 // Rank returns the number of standby followers that come before this instance, by the watcher's last reply.
 func (s *Source) Rank() int { return int(s.rank.Load()) }
 
+// Standbys returns the number of standby instances that follow the zone's watcher, by its last reply.
+func (s *Source) Standbys() int { return int(s.standbys.Load()) }
+
 // StaleError reports a watcher whose last call of the store failed, was answered too long ago, or was answered in an earlier era.
 type StaleError struct {
 	Address netip.AddrPort
@@ -96,7 +101,7 @@
 	if err != nil || reply.Stale || reply.Compacted || !reply.Changes.Position().SameEra(listing.Position()) {
 		return pollenstore.Changes{}, false
 	}
-	s.rank.Store(int64(reply.Rank))
+	s.storeRank(reply)
 	return reply.Changes, true
 }
 
@@ -120,7 +125,7 @@
 		Follower: s.config.Self, Standby: s.config.Standby(), After: after.Revision, Era: after.Era, Wait: min(wait, s.config.WatchWait),
 	})
 	if ok {
-		s.rank.Store(int64(reply.Rank))
+		s.storeRank(reply)
 	}
 	switch {
 	case ok && reply.Compacted:
@@ -167,6 +172,11 @@
 	return reply, err == nil
 }
 
+func (s *Source) storeRank(reply *Reply) {
+	s.rank.Store(int64(reply.Rank))
+	s.standbys.Store(int64(reply.Standbys))
+}
+
 // isOfEarlierEra reports whether a reply is of an earlier era than another one before it.
 func (s *Source) isOfEarlierEra(reply *Reply) bool {
 	position := reply.Changes.Position().Advance(reply.Listing.Position())
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -132,12 +132,12 @@
 		pool:         pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: defaultServerIdleTimeout, KeepAlive: keepAliveConfig}),
 		ranking:      pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 		coldLimiter:  pollenramp.New(pollenramp.Config{InstanceName: settings.Name}),
-		quotas:       pollenquota.New(pollenquota.Config{InstanceName: settings.Name}),
 		memory:       pollenmemory.New(pollenmemory.Config{LimitBytes: settings.bodyBytes()}),
 		configured:   make(chan struct{}),
 		tableChanged: make(chan struct{}, 1),
 		relay:        pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare)}),
 	}
+	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.metrics = newMetrics(f.quotas.LimitedServers)
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
--- a/pollenentry/pollenfront/registration.go
+++ b/pollenentry/pollenfront/registration.go
@@ -69,6 +69,15 @@
 	<-done
 }
 
+// countStandbys estimates the number of instances that are not registered, in all zones, from those of this instance's zone.
+func (f *Frontend) countStandbys() int {
+	zones := make(map[string]bool)
+	for _, i := range f.view.Table().Instances() {
+		zones[i.Zone] = true
+	}
+	return f.source.Standbys() * len(zones)
+}
+
 // repairRegistration rewrites the instance's key if the store lost it while the lease is still valid.
 func (f *Frontend) repairRegistration(table *pollencatalog.Table) {
 	inTable := slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
