--- a/pollen/pollenfollow/follow_test.go
+++ b/pollen/pollenfollow/follow_test.go
@@ -428,34 +428,34 @@
 	return pollenstore.Lease{ID: s.lease, Duration: duration}, nil
 }
 
-func (s *leaseStore) Renew(_ context.Context, id uint64) error {
+func (s *leaseStore) Renew(_ context.Context, lease pollenstore.Lease) error {
 	if err := s.checkAvailable(); err != nil {
 		return err
 	}
 	s.renewals++
-	if s.revoked || id != s.lease {
-		return &pollenstore.LeaseGoneError{ID: id}
+	if s.revoked || lease.ID != s.lease {
+		return &pollenstore.LeaseGoneError{ID: lease.ID}
 	}
 	return nil
 }
 
-func (s *leaseStore) Revoke(_ context.Context, id uint64) error {
+func (s *leaseStore) Revoke(_ context.Context, revoked pollenstore.Lease) error {
 	if err := s.checkAvailable(); err != nil {
 		return err
 	}
 	for key, lease := range s.keys {
-		if lease == id {
+		if lease == revoked.ID {
 			delete(s.keys, key)
 		}
 	}
 	return nil
 }
 
-func (s *leaseStore) Put(_ context.Context, key string, _ []byte, lease uint64) error {
+func (s *leaseStore) Put(_ context.Context, key string, _ []byte, lease pollenstore.Lease) error {
 	if err := s.checkAvailable(); err != nil {
 		return err
 	}
-	s.keys[key] = lease
+	s.keys[key] = lease.ID
 	return nil
 }
 
--- a/pollen/pollenfollow/register.go
+++ b/pollen/pollenfollow/register.go
@@ -16,11 +16,11 @@
 	// Grant returns a new lease.
 	Grant(ctx context.Context, duration time.Duration) (pollenstore.Lease, error)
 	// Renew extends a lease by its duration from now.
-	Renew(ctx context.Context, id uint64) error
+	Renew(ctx context.Context, lease pollenstore.Lease) error
 	// Revoke ends a lease and deletes its keys.
-	Revoke(ctx context.Context, id uint64) error
+	Revoke(ctx context.Context, lease pollenstore.Lease) error
 	// Put writes a key that is deleted with the lease.
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	Put(ctx context.Context, key string, value []byte, lease pollenstore.Lease) error
 }
 
 // RegistrarConfig holds the parameters of a Registrar.
@@ -85,7 +85,7 @@
 	if err != nil {
 		return lease, err
 	}
-	return lease, r.config.Writer.Put(ctx, r.config.Key, r.config.Value, lease.ID)
+	return lease, r.config.Writer.Put(ctx, r.config.Key, r.config.Value, lease)
 }
 
 // keepLease renews the lease until it has expired or ctx is done, and writes the key again when asked to.
@@ -100,10 +100,10 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			err = r.config.Writer.Renew(ctx, lease.ID)
+			err = r.config.Writer.Renew(ctx, lease)
 		case <-r.rewrite:
 			klog.InfoS("Instance key is missing, writing it again", "key", r.config.Key)
-			err = r.config.Writer.Put(ctx, r.config.Key, r.config.Value, lease.ID)
+			err = r.config.Writer.Put(ctx, r.config.Key, r.config.Value, lease)
 		}
 		if failing && err == nil || errors.As(err, &gone) {
 			r.config.OnInterruption()
@@ -124,7 +124,7 @@
 func (r *Registrar) revokeLease(lease pollenstore.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
-	if err := r.config.Writer.Revoke(ctx, lease.ID); err != nil {
+	if err := r.config.Writer.Revoke(ctx, lease); err != nil {
 		klog.ErrorS(err, "Lease not revoked, it will expire", "lease", lease.ID)
 	}
 }
--- a/pollen/pollenstore/store.go
+++ b/pollen/pollenstore/store.go
@@ -54,6 +54,8 @@
 type Lease struct {
 	ID       uint64
 	Duration time.Duration
+	// Era is the store's era at the grant, zero if it is not known. In a later era the ID may be another lease's.
+	Era uint64
 }
 
 // ConflictError reports a swap whose key does not have the expected version.
