Keep recorded regressions of the soak exact when kinds of faults are added

Cause: a seed's faults are drawn from the table of kinds, so that two more kinds changed what the recorded seeds do. A regression holds the number of kinds that there were, or their names, and new kinds go to the end of the table.

--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -20,7 +20,7 @@
 	inject func(ctx context.Context, c *cluster, random *rand.Rand, duration time.Duration) error
 }
 
-// faultKinds lists all kinds of faults.
+// faultKinds lists all kinds of faults. New kinds are added at the end, because recorded regressions count from its start.
 var faultKinds = []faultKind{
 	{"kill", "an instance is killed and restarted", injectKill},
 	{"stop", "an instance is stopped gracefully and restarted", injectStop},
@@ -35,7 +35,6 @@
 	{"store-slow", "the store delays all calls", storeFault(pollenfakestore.Faults{Delay: 250 * time.Millisecond})},
 	{"store-answers-lost", "the store applies writes and loses the responses", storeFault(pollenfakestore.Faults{LoseAnswers: true})},
 	{"store-compacted", "the store compacts its history", injectCompaction},
-	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
 	{"server-killed", "a server is killed and a replacement starts", injectServerKill},
 	{"server-drained", "a server is drained and a replacement starts", injectServerDrain},
 	{"servers-slow", "some servers respond slowly", serverFault(0.25, pollenfakeplatform.ServerFaults{SlowFactor: 8})},
@@ -44,7 +43,6 @@
 	{"servers-garble", "some servers truncate responses", serverFault(0.4, pollenfakeplatform.ServerFaults{TruncatedAnswerShare: 0.2})},
 	{"servers-double", "some servers send responses twice", serverFault(0.4, pollenfakeplatform.ServerFaults{DuplicateAnswerShare: 0.2})},
 	{"servers-hang", "some servers accept requests and never respond", serverFault(0.25, pollenfakeplatform.ServerFaults{HangShare: 0.5})},
-	{"servers-limited", "some servers state how many requests per second they take", injectLimit},
 	{"links-silent", "connections to some servers stall in both directions", serverLinkFault(func(p *proxy) { p.setMode(modeStall, 0) })},
 	{"links-reset", "connections to some servers are reset", serverLinkFault((*proxy).resetLinks)},
 	{"links-deaf", "open connections to some servers stall, new ones work", serverLinkFault((*proxy).stallOpenLinks)},
@@ -52,6 +50,8 @@
 	{"move", "a route moves to another service", injectRouteMove},
 	{"reshard", "a route's shards are replaced by a new set", injectReshard},
 	{"evacuate", "a zone is evacuated and returned to service", injectEvacuation},
+	{"servers-limited", "some servers state how many requests per second they take", injectLimit},
+	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
 }
 
 func (c *cluster) randomInstance(random *rand.Rand) *entryInstance {
--- a/pollenbench/pollensoak/regression.go
+++ b/pollenbench/pollensoak/regression.go
@@ -14,6 +14,18 @@
 	Seed    uint64
 	Promise string
 	Cause   string
+	// FaultKindCount is the number of kinds of faults that there were; zero if FaultKinds names them.
+	FaultKindCount int
+	FaultKinds     []string
+}
+
+// Config returns the configuration with the seed and the kinds of faults of the regression.
+func (r Regression) Config(config Config) Config {
+	config.Seed, config.FaultKinds = r.Seed, r.FaultKinds
+	for _, f := range faultKinds[:r.FaultKindCount] {
+		config.FaultKinds = append(config.FaultKinds, f.name)
+	}
+	return config
 }
 
 // Regressions returns the recorded regressions.
--- a/pollenbench/pollensoak/soak_test.go
+++ b/pollenbench/pollensoak/soak_test.go
@@ -65,6 +65,9 @@
 	}
 	for _, r := range regressions {
 		c.Check(known[r.Promise] && r.Cause != "", qt.IsTrue, qt.Commentf("%v", r))
+		_, err := newPlan(r.Config(Config{Duration: time.Second}))
+		c.Check(err, qt.IsNil)
+		c.Check((r.FaultKindCount > 0) != (len(r.FaultKinds) > 0), qt.IsTrue, qt.Commentf("%v", r))
 	}
 }
 
--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -92,43 +92,44 @@
 		s.config.Directory = directory
 	}
 	fmt.Printf("settings and logs in %s\n", s.config.Directory)
-	seeds, err := s.selectSeeds()
+	configs, err := s.selectRuns()
 	if err != nil {
 		return err
 	}
-	return s.runSeeds(ctx, seeds)
+	return s.runAll(ctx, configs)
 }
 
-// selectSeeds returns the seeds to run, each once.
-func (s *soakFlags) selectSeeds() ([]uint64, error) {
-	var seeds []uint64
+// selectRuns returns the configurations of the runs, one for each seed.
+func (s *soakFlags) selectRuns() ([]pollensoak.Config, error) {
+	var configs []pollensoak.Config
 	if !s.regressions {
 		for n := range s.seeds {
-			seeds = append(seeds, s.seed+uint64(n))
+			config := s.config
+			config.Seed = s.seed + uint64(n)
+			configs = append(configs, config)
 		}
-		return seeds, nil
+		return configs, nil
 	}
 	regressions, err := pollensoak.Regressions()
 	for _, r := range regressions {
-		seeds = append(seeds, r.Seed)
+		if !slices.ContainsFunc(configs, func(c pollensoak.Config) bool { return c.Seed == r.Seed }) {
+			configs = append(configs, r.Config(s.config))
+		}
 	}
-	slices.Sort(seeds)
-	return slices.Compact(seeds), err
+	return configs, err
 }
 
-// runSeeds runs the seeds, at most s.parallel of them concurrently, and prints their reports.
-func (s *soakFlags) runSeeds(ctx context.Context, seeds []uint64) error {
+// runAll makes the runs, at most s.parallel of them concurrently, and prints their reports.
+func (s *soakFlags) runAll(ctx context.Context, configs []pollensoak.Config) error {
 	var mu sync.Mutex
 	var broken BrokenPromisesError
 	var runErr error
 	var runs sync.WaitGroup
 	slots := make(chan struct{}, max(1, s.parallel))
-	for _, seed := range seeds {
+	for _, config := range configs {
 		slots <- struct{}{}
 		runs.Go(func() {
 			defer func() { <-slots }()
-			config := s.config
-			config.Seed = seed
 			report, err := pollensoak.Run(ctx, config)
 			mu.Lock()
 			defer mu.Unlock()
