--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -34,9 +34,9 @@
 		}
 	}
 	admissionDeadline := c.schedule.admissionDeadline(c.callerRetry)
-	if c.forwarder.config.Quotas.LimitedServers() > 0 && c.countBelowLimit(now, admissionDeadline) < c.requiredAnswers() {
+	if belowLimit := c.countBelowLimit(now, admissionDeadline); belowLimit < c.requiredAnswers() {
 		return &RefusedError{
-			Cause:      fmt.Sprintf("servers below their limits for %d of %d services, %d needed", c.countBelowLimit(now, admissionDeadline), len(c.subrequests), c.requiredAnswers()),
+			Cause:      fmt.Sprintf("servers below their limits for %d of %d services, %d needed", belowLimit, len(c.subrequests), c.requiredAnswers()),
 			RetryAfter: RetryAfterOverload(timeLeft, rand.Float64()),
 		}
 	}
@@ -64,7 +64,7 @@
 //
 // Services whose servers are all at their limits do not count as pending: other calls wait for the same few requests.
 func (c *call) tryStart(now time.Time) bool {
-	if c.forwarder.config.Quotas.LimitedServers() > 0 && c.countBelowLimit(now, now) < c.requiredAnswers() {
+	if c.countBelowLimit(now, now) < c.requiredAnswers() {
 		return false
 	}
 	c.otherSenders = c.countOtherSenders(now)
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -99,8 +99,8 @@
 	return c.bestServer(table, s, tried, now)
 }
 
-// bestServer returns the best of the servers that their limits and the cold limiter allow, preferably one with an available connection,
-// and whether it has capacity.
+// bestServer returns the best of the servers that their limits and the cold limiter allow, preferably one with an available
+// connection, and whether it has capacity.
 func (c *call) bestServer(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
 	servers = slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool {
 		return !c.forwarder.config.ColdLimiter.Allows(server, table, now) || c.forwarder.config.Quotas.NextSend(server, table, now).After(now)
@@ -162,8 +162,12 @@
 	return c.forwarder.config.Ranking.AnyAvailable(servers, now)
 }
 
-// countBelowLimit returns the number of subrequests for which hasServerBelowLimit holds.
+// countBelowLimit returns the number of subrequests for which hasServerBelowLimit holds, all of them if no server states a
+// limit.
 func (c *call) countBelowLimit(now, until time.Time) int {
+	if c.forwarder.config.Quotas.LimitedServers() == 0 {
+		return len(c.subrequests)
+	}
 	count := 0
 	for i := range c.subrequests {
 		if c.hasServerBelowLimit(&c.subrequests[i], now, until) {
--- a/pollen/pollenquota/quota.go
+++ b/pollen/pollenquota/quota.go
@@ -46,7 +46,8 @@
 	// lastSend is when the last request was sent; before the first one, it is set such that the first one waits for the
 	// share's delay.
 	lastSend time.Time
-	// share is this instance's share of the limit, as worked out from dividedBy and dividedStandbys.
+	// share is this instance's share of the limit, as worked out from dividedBy, nil if it must be worked out anew, and
+	// dividedStandbys.
 	share           share
 	dividedBy       *pollencatalog.Table
 	dividedStandbys int
@@ -87,13 +88,11 @@
 		}
 		if s.limit != limit {
 			klog.InfoS("Server states limit", "server", server.ID, "service", server.Service, "perSecond", limit.PerSecond, "before", s.limit.PerSecond)
+			s.dividedBy = nil
 		}
 		if !s.limit.Stated {
 			q.limited.Add(1)
 		}
-		if s.limit != limit {
-			s.dividedBy = nil
-		}
 		s.limit, s.statedAt = limit, now
 	case ok && s.limit.Stated && sentAt.After(s.statedAt):
 		klog.InfoS("Server no longer states limit", "server", server.ID, "service", server.Service, "before", s.limit.PerSecond)
