Give the instances of a test addresses that no other process takes

Cause, from the log: the ports were found by listening and closing, and another process listened on one of them before the instance did ("address already in use"). Each process has a loopback address of its own now, and ports below those that systems give out.

--- a/pollenentry/pollenfront/restored_test.go
+++ b/pollenentry/pollenfront/restored_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,17 +49,27 @@
 // testConfigurationDelay is the time within which a change must be in force in these tests.
 const testConfigurationDelay = time.Second
 
-// startFrontend starts an instance on free ports of the loopback address; it ends with the test.
+// testBasePort is below the ports that systems give out by themselves.
+const testBasePort = 7200
+
+// nextTestPort counts the ports that instances of this process listen on.
+var nextTestPort atomic.Uint32
+
+// freeAddress returns an address that nothing else listens on: the process has a loopback address of its own.
+func freeAddress() netip.AddrPort {
+	pid := os.Getpid()
+	address := netip.AddrFrom4([4]byte{127, 200 + byte(pid>>16&15), byte(pid >> 8), byte(pid)})
+	return netip.AddrPortFrom(address, testBasePort+uint16(nextTestPort.Add(1)))
+}
+
+// startFrontend starts an instance; it ends with the test.
 func startFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort) *Frontend {
 	settings := DefaultSettings()
 	settings.Name, settings.Zone, settings.StoreAddress, settings.ProcessorShare = name, "zone-a", store, 1
 	for _, address := range []*netip.AddrPort{
 		&settings.CallerAddress, &settings.DirectoryAddress, &settings.ReadinessAddress, &settings.MetricsAddress, &settings.PeerAddress,
 	} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		*address = netip.MustParseAddrPort(listener.Addr().String())
-		c.Assert(listener.Close(), qt.IsNil)
+		*address = freeAddress()
 	}
 	settings.ConfigurationDelay = pollensettings.Duration(testConfigurationDelay)
 	settings.StorePause, settings.StopTimeout = pollensettings.Duration(50*time.Millisecond), pollensettings.Duration(10*time.Millisecond)
