--- a/pollen/pollenforward/quota_test.go
+++ b/pollen/pollenforward/quota_test.go
@@ -19,10 +19,11 @@
 	"pollenline.example/pollen/pollenrank"
 )
 
-// limitingExchanger is an Exchanger whose servers state limits from a time on, and answer all requests.
+// limitingExchanger is an Exchanger whose servers state limits for a time, and answer all requests.
 type limitingExchanger struct {
-	limits     map[string]float64
-	statedFrom time.Time
+	limits map[string]float64
+	// Limits are stated from statedFrom on, and until statedUntil unless that is zero.
+	statedFrom, statedUntil time.Time
 
 	mu       sync.Mutex
 	arrivals map[string][]time.Time
@@ -38,14 +39,19 @@
 	e.mu.Lock()
 	e.arrivals[request.Server.ID] = append(e.arrivals[request.Server.ID], time.Now())
 	e.mu.Unlock()
-	perSecond, limited := e.limits[request.Server.ID]
-	answer := &Answer{Status: 200, Limit: pollenquota.Limit{Stated: limited && !time.Now().Before(e.statedFrom), PerSecond: perSecond}}
+	answer := &Answer{Status: 200}
+	over := !e.statedUntil.IsZero() && time.Now().After(e.statedUntil)
+	if perSecond, limited := e.limits[request.Server.ID]; limited && !over && !time.Now().Before(e.statedFrom) {
+		answer.Limit = pollenquota.Limit{Stated: true, PerSecond: perSecond}
+	}
 	time.Sleep(time.Duration(15+rand.IntN(10)) * time.Millisecond)
 	return answer, nil
 }
 
 // mostArrivals returns the largest number of arrivals at a server in any period that starts at a time or later.
 func (e *limitingExchanger) mostArrivals(server string, from time.Time, period time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	most := 0
 	arrivals := e.arrivals[server]
 	for i, first := range arrivals {
@@ -163,12 +169,9 @@
 	runInVirtualTime(t, func(t *testing.T) {
 		c := qt.New(t)
 		start := time.Now()
-		exchanger := &limitingExchanger{limits: map[string]float64{"a0": 2}, statedFrom: start, arrivals: make(map[string][]time.Time)}
+		exchanger := &limitingExchanger{limits: map[string]float64{"a0": 2}, statedFrom: start, statedUntil: start.Add(10 * time.Second), arrivals: make(map[string][]time.Time)}
 		forwarders := newFleet(exchanger, 4)
 		for time.Since(start) < 30*time.Second {
-			if time.Since(start) > 10*time.Second {
-				exchanger.statedFrom = start.Add(time.Hour)
-			}
 			for _, f := range forwarders {
 				_, _, err := f.Serve(t.Context(), unshardedRoute(true), &Request{ID: "r", Received: time.Now(), CallerTimeout: time.Second})
 				c.Assert(err, qt.IsNil)
