Rank senders to a server in one place

pollenquota wrote the rendezvous hash of pollenramp again. Both call Server.SenderRank now; the hash is the same, so that cold servers and shares keep their senders.

--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Configuration is one version of the configuration that operators write.
@@ -101,6 +103,11 @@
 	return Incarnation{ID: s.ID, Address: s.Address, StartedAtMillis: startedAt}
 }
 
+// SenderRank orders instances as senders to the server by rendezvous hashing: the one with the highest rank comes first.
+func (s *Server) SenderRank(instanceName string) uint64 {
+	return xxhash.Sum64String(instanceName + "/" + s.ID)
+}
+
 // Instance describes an entry instance of this system. Its fields are stored as JSON under their Go names.
 type Instance struct {
 	Name          string
--- a/pollen/pollenquota/share.go
+++ b/pollen/pollenquota/share.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenline.example/pollen/pollencatalog"
 )
 
@@ -42,7 +40,7 @@
 	instances := table.Instances()
 	isRegistered := slices.ContainsFunc(instances, func(i pollencatalog.Instance) bool { return i.Name == q.config.InstanceName })
 	if !isRegistered && len(instances) > 0 {
-		return probeShare(standbyProbeInterval, int(senderHash(q.config.InstanceName, server)>>1), q.config.Standbys())
+		return probeShare(standbyProbeInterval, int(server.SenderRank(q.config.InstanceName)>>1), q.config.Standbys())
 	}
 	sharers := table.SharerCount()
 	senders := min(sharers, minSenders+int(sendersPerRequest*perSecond))
@@ -62,16 +60,12 @@
 
 // countPreceding returns how many other instances come before an instance in the server's order of senders.
 func countPreceding(instances []pollencatalog.Instance, server *pollencatalog.Server, instanceName string) int {
-	own := senderHash(instanceName, server)
+	own := server.SenderRank(instanceName)
 	preceding := 0
 	for _, i := range instances {
-		if i.Name != instanceName && senderHash(i.Name, server) > own {
+		if i.Name != instanceName && server.SenderRank(i.Name) > own {
 			preceding++
 		}
 	}
 	return preceding
 }
-
-func senderHash(instanceName string, server *pollencatalog.Server) uint64 {
-	return xxhash.Sum64String(instanceName + "/" + server.ID)
-}
--- a/pollen/pollenramp/limiter.go
+++ b/pollen/pollenramp/limiter.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenline.example/pollen/pollencatalog"
 )
 
@@ -95,8 +93,8 @@
 func Sender(instances []pollencatalog.Instance, server *pollencatalog.Server) string {
 	name, highest := "", uint64(0)
 	for _, i := range instances {
-		if hash := xxhash.Sum64String(i.Name + "/" + server.ID); name == "" || hash > highest {
-			name, highest = i.Name, hash
+		if rank := server.SenderRank(i.Name); name == "" || rank > highest {
+			name, highest = i.Name, rank
 		}
 	}
 	return name
