--- a/pollen/pollenfakestore/store.go
+++ b/pollen/pollenfakestore/store.go
@@ -177,6 +177,11 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.compactLocked()
+}
+
+// compactLocked discards all events and wakes the watches.
+func (s *Store) compactLocked() {
 	s.events, s.compactedRevision = nil, s.revision
 	close(s.nextEvent)
 	s.nextEvent = make(chan struct{})
@@ -228,9 +233,7 @@
 	for id, l := range copied.leases {
 		s.leases[id] = &lease{duration: l.duration, keys: slices.Clone(l.keys), timer: time.AfterFunc(l.duration, func() { s.endLease(id) })}
 	}
-	s.events, s.compactedRevision = nil, s.revision
-	close(s.nextEvent)
-	s.nextEvent = make(chan struct{})
+	s.compactLocked()
 	return lost
 }
 
