Compare eras in one place, and decode a listed key once

Position.LaterEra takes the place of three spellings of it. CatchUp no longer compares the era of a reply: the watcher refuses a position of another era, and an older one states none. After a restore each entry was decoded twice, the configuration among them. No behaviour changes.

--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -179,7 +179,7 @@
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
 	reply.Rank, reply.Standbys = s.server.updateRank(request.Follower, request.Standby)
 	after := pollenstore.Position{Era: request.Era, Revision: request.After}
-	if reply.Stale = s.server.stale() || s.server.replica.IsOfEarlierEra(after); reply.Stale {
+	if reply.Stale = s.server.stale() || after.LaterEra(s.server.replica.Position()); reply.Stale {
 		return nil
 	}
 	changes, err := s.server.replica.Watch(context.Background(), after, request.Wait)
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSlack)
 	defer cancel()
 	reply, err := s.watcher.call(ctx, address, methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era})
-	if err != nil || reply.Stale || reply.Compacted || !reply.Changes.Position().SameEra(listing.Position()) {
+	if err != nil || reply.Stale || reply.Compacted {
 		return pollenstore.Changes{}, false
 	}
 	s.storeRank(reply)
@@ -180,7 +180,7 @@
 // isOfEarlierEra reports whether a reply is of an earlier era than another one before it.
 func (s *Source) isOfEarlierEra(reply *Reply) bool {
 	position := reply.Changes.Position().Advance(reply.Listing.Position())
-	if !position.SameEra(s.newest) && s.newest.Newer(position) {
+	if s.newest.LaterEra(position) {
 		return true
 	}
 	s.newest = s.newest.Advance(position)
--- a/pollen/pollenreplica/replica.go
+++ b/pollen/pollenreplica/replica.go
@@ -86,11 +86,7 @@
 }
 
 // Revision returns the store revision of the replica.
-func (r *Replica) Revision() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.position.Revision
-}
+func (r *Replica) Revision() uint64 { return r.Position().Revision }
 
 // Position returns the store position of the replica.
 func (r *Replica) Position() pollenstore.Position {
@@ -99,12 +95,6 @@
 	return r.position
 }
 
-// IsOfEarlierEra reports whether a position is of a later era than the replica.
-func (r *Replica) IsOfEarlierEra(position pollenstore.Position) bool {
-	own := r.Position()
-	return !own.SameEra(position) && position.Newer(own)
-}
-
 // List returns the entries whose keys have a prefix, ordered by key.
 func (r *Replica) List(prefix string) pollenstore.Listing {
 	r.mu.Lock()
--- a/pollen/pollenstore/position.go
+++ b/pollen/pollenstore/position.go
@@ -24,12 +24,12 @@
 	return p.Era == other.Era || p.Era == 0 || other.Era == 0
 }
 
+// LaterEra reports whether a position is of a later era than another one.
+func (p Position) LaterEra(other Position) bool { return !p.SameEra(other) && p.Era > other.Era }
+
 // Newer reports whether a position is later than another one.
 func (p Position) Newer(other Position) bool {
-	if !p.SameEra(other) {
-		return p.Era > other.Era
-	}
-	return p.Revision > other.Revision
+	return p.LaterEra(other) || p.SameEra(other) && p.Revision > other.Revision
 }
 
 // Advance returns the later of two positions, with the known era if only one of them has one.
--- a/pollen/pollenview/restore.go
+++ b/pollen/pollenview/restore.go
@@ -30,7 +30,7 @@
 
 // notice records the position of a listing and reports whether the store came back from a copy before it.
 func (r *restoreState) notice(listed pollenstore.Position, now time.Time) bool {
-	restored := !listed.SameEra(r.position) && listed.Newer(r.position)
+	restored := listed.LaterEra(r.position)
 	if restored {
 		r.at = now
 	}
@@ -59,13 +59,9 @@
 // knows: a server was draining or gone later than the copy, or an instance was gone. Their owners write again what they wrote
 // since, so that the entry counts if it is still there at the end of the grace period.
 func (v *View) putListedKey(entry pollenstore.Entry, now time.Time) {
-	if !v.inRestoreGracePeriod(now) {
-		v.putKey(entry, now)
-		return
-	}
 	record, err := v.config.Decoder.Decode(entry, now)
-	if err != nil || !v.supersedes(entry.Key, record) {
-		v.putKey(entry, now)
+	if err != nil || !v.inRestoreGracePeriod(now) || !v.supersedes(entry.Key, record) {
+		v.putRecord(entry, record, err)
 		return
 	}
 	klog.InfoS("Key of the store's copy is out of date", "key", entry.Key, "revision", entry.Version)
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -167,6 +167,11 @@
 
 func (v *View) putKey(entry pollenstore.Entry, now time.Time) {
 	record, err := v.config.Decoder.Decode(entry, now)
+	v.putRecord(entry, record, err)
+}
+
+// putRecord applies an entry that was decoded into a record, or not because of err.
+func (v *View) putRecord(entry pollenstore.Entry, record Record, err error) {
 	switch {
 	case err != nil:
 		klog.ErrorS(err, "Key is not readable", "key", entry.Key, "revision", entry.Version)
