Log the content of requests and servers that end under them

The logs could not tell which requests servers end under. A request's line now has its content's fingerprint and the number of broken connections, and an instance that sees connections to a server break connects once to find out whether the server has ended.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -94,6 +94,9 @@
 	answer, err := c.forwarder.config.Exchanger.Exchange(c.exchangeCtx, request)
 	now := time.Now()
 	observation.Finish(outcome(request.SendContext, answer, err), now)
+	if isBroken(err) {
+		go c.forwarder.detectCrash(request, observation.Started())
+	}
 	if limit, ok := answeredLimit(answer, err); ok {
 		c.forwarder.config.Quotas.RecordAnswer(request.Server, limit, c.forwarder.config.Table(), observation.Started(), now)
 	}
@@ -113,6 +116,12 @@
 	return pollenquota.Limit{}, false
 }
 
+// isBroken reports whether an attempt ended because its connection was closed or reset.
+func isBroken(err error) bool {
+	var noAnswer *NoAnswerError
+	return errors.As(err, &noAnswer) && noAnswer.Broken
+}
+
 // outcome classifies the result of an attempt for the ranking.
 func outcome(sendCtx context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
@@ -168,6 +177,9 @@
 		s.possibleRuns++
 		c.mayHaveRun = true
 		c.stats.Failures++
+		if isBroken(r.err) {
+			c.stats.Broken++
+		}
 	}
 	if r.err != nil {
 		c.stats.LastFailure = r.err.Error()
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -10,6 +10,7 @@
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // Config holds a Forwarder's dependencies and time limits.
@@ -38,6 +39,7 @@
 	queue   pollenadmit.Queue
 	// callerRetries detects callers that repeat a refused request.
 	callerRetries callerRetryDetector
+	crashes       crashDetector
 }
 
 // New returns a Forwarder whose StaleConnectionPeriod begins now.
@@ -61,7 +63,7 @@
 		forwarder: f,
 		route:     route,
 		request:   request,
-		stats:     &Stats{Route: route.Name, Services: len(services)},
+		stats:     &Stats{Route: route.Name, Services: len(services), Content: request.Content},
 		schedule: NewSchedule(ScheduleConfig{
 			Route: route, Received: request.Received, CallerTimeout: request.CallerTimeout,
 			CallerRoundTrip: f.config.CallerRoundTrip, LatencyQuantile: f.config.Ranking.LatencyQuantile(route.Name, 1-hedgeBudgetShare*f.config.Budget.Ratio()),
@@ -108,6 +110,10 @@
 	QueueTime time.Duration
 	// Refusals counts attempts that no server ran, Failures those that may have run without a usable answer.
 	Refusals, Failures int
+	// Broken counts the failures whose connection was closed or reset.
+	Broken int
+	// Content identifies requests with the same content.
+	Content pollensuspect.Fingerprint
 	// BudgetDenied counts retries and hedges that the budget did not allow.
 	BudgetDenied int
 	// LastFailure describes the newest failed attempt.
--- a/pollen/pollenforward/harness_test.go
+++ b/pollen/pollenforward/harness_test.go
@@ -44,6 +44,10 @@
 
 func (f *fakeExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
+func (f *fakeExchanger) RefusesConnections(context.Context, *pollencatalog.Server, int) bool {
+	return false
+}
+
 func (f *fakeExchanger) Exchange(ctx context.Context, request ServerRequest) (*Answer, error) {
 	f.mu.Lock()
 	f.sent = append(f.sent, request.Server.ID)
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -10,6 +10,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenmemory"
 	"pollenline.example/pollen/pollenquota"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // Request holds a caller's request with its whole body.
@@ -26,6 +27,8 @@
 	Received time.Time
 	// CallerTimeout is how long the caller waits from Received on; zero if it states no limit.
 	CallerTimeout time.Duration
+	// Content identifies requests with the same content from the same caller.
+	Content pollensuspect.Fingerprint
 	// Memory counts the bodies that are held for the request; the servers' answers are read on it.
 	Memory *pollenmemory.Account
 }
@@ -91,6 +94,8 @@
 	// ConnectionAvailable reports whether a request could be sent without waiting for another one to release its
 	// connection.
 	ConnectionAvailable(server *pollencatalog.Server, connectionLimit int) bool
+	// RefusesConnections reports whether the server refuses a new connection, as it does once its process has ended.
+	RefusesConnections(ctx context.Context, server *pollencatalog.Server, connectionLimit int) bool
 }
 
 // Reply holds the response to a caller.
@@ -131,6 +136,8 @@
 // NoAnswerError reports a request that may have run and got no complete and valid answer.
 type NoAnswerError struct {
 	Server string
+	// Broken is set if the connection was closed or reset before the answer was complete.
+	Broken bool
 	Err    error
 }
 
--- a/pollen/pollenforward/overload_test.go
+++ b/pollen/pollenforward/overload_test.go
@@ -58,6 +58,10 @@
 
 func (e queueingExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
+func (e queueingExchanger) RefusesConnections(context.Context, *pollencatalog.Server, int) bool {
+	return false
+}
+
 func (e queueingExchanger) Exchange(ctx context.Context, request ServerRequest) (*Answer, error) {
 	if !request.SendGuard.Claim() {
 		return nil, &UnsentError{Server: request.Server.ID, Err: &WithdrawnError{}}
--- a/pollen/pollenforward/quota_test.go
+++ b/pollen/pollenforward/quota_test.go
@@ -31,6 +31,10 @@
 
 func (e *limitingExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
+func (e *limitingExchanger) RefusesConnections(context.Context, *pollencatalog.Server, int) bool {
+	return false
+}
+
 func (e *limitingExchanger) Exchange(_ context.Context, request ServerRequest) (*Answer, error) {
 	if !request.SendGuard.Claim() {
 		return nil, &UnsentError{Server: request.Server.ID, Err: &WithdrawnError{}}
--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -124,6 +126,11 @@
 	if conn != nil {
 		return conn, nil
 	}
+	return p.open(ctx, address)
+}
+
+// open opens a connection that the host already counts.
+func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
 	defer cancel()
 	client, err := p.transport.NewClientConn(ctx, "http", address.String())
@@ -157,6 +164,25 @@
 	return nil, &LimitError{Address: address, Limit: limit, Err: context.Cause(ctx)}
 }
 
+// Refuses reports whether a server refuses a new connection. If it takes one, the connection is kept idle. No connection is
+// opened at the limit, and none counts as refused then.
+func (p *Pool) Refuses(ctx context.Context, address netip.AddrPort, limit int) bool {
+	p.mu.Lock()
+	h := p.host(address)
+	if h.openConns >= limit {
+		p.mu.Unlock()
+		return false
+	}
+	h.openConns++
+	p.mu.Unlock()
+	conn, err := p.open(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.putUntil(time.Now().Add(p.config.IdleTimeout))
+	return false
+}
+
 // Available reports whether a connection is idle or may be opened now. None may be opened at the limit, nor for
 // refusalBackoff after MarkRefused.
 func (p *Pool) Available(address netip.AddrPort, limit int) bool {
