Hold back requests that servers end under

Cause: nothing remembered under which request a server ended. The request was retried and hedged at the second server of each shard, and sent again by every instance. Class: a shared fate of servers by a request that is tried again.

Now an instance that sees a connection break finds out whether the server refuses a new one, and counts that against the request's content. Instances tell each other, without the store. Content with evidence goes to one server at a time until one has answered, and is refused after three rounds.

--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -89,6 +89,13 @@
 // Eligible reports whether a server may get new requests: it is not draining and its zone is not evacuated.
 func (t *Table) Eligible(s *Server) bool { return !s.Draining && !t.evacuatedZones[s.Zone] }
 
+// Accepts reports whether the table holds this incarnation of a server and it is not draining.
+func (t *Table) Accepts(server *Server) bool {
+	return slices.ContainsFunc(t.servers[server.Service], func(s *Server) bool {
+		return s.Incarnation() == server.Incarnation() && !s.Draining
+	})
+}
+
 // Incarnations returns the incarnations of all servers in the table.
 func (t *Table) Incarnations() map[Incarnation]bool {
 	incarnations := make(map[Incarnation]bool)
--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // admit starts the call, or refuses it if the available servers cannot reach the minimum coverage, or have no capacity or
@@ -40,11 +41,17 @@
 			RetryAfter: RetryAfterOverload(timeLeft, rand.Float64()),
 		}
 	}
+	if c.caution == pollensuspect.SendSuspect && !c.canTest(now) {
+		return &RefusedError{
+			Cause: "servers have ended under requests of this content, and no service has one to spare", RetryAfter: RetryAfterOutage(timeLeft),
+		}
+	}
 	started := c.forwarder.queue.Admit(ctx, pollenadmit.Request{
 		Priority: c.route.Priority, CapacityKey: c.route.Name, Arrived: c.request.Received, TryStart: c.tryStart,
 		Deadline: admissionDeadline, CallerRetry: c.callerRetry,
 	})
 	c.stats.CallerRetry, c.stats.QueueTime = c.callerRetry, time.Since(now)
+	c.hedgeDelay = c.schedule.HedgeAt.Sub(c.request.Received)
 	// The hedge delay starts when the request leaves the queue.
 	c.schedule.HedgeAt = c.schedule.HedgeAt.Add(c.stats.QueueTime)
 	switch {
@@ -67,6 +74,10 @@
 	if c.countBelowLimit(now, now) < c.requiredAnswers() {
 		return false
 	}
+	if c.decideCaution(now) != nil {
+		// The call has started and ends at once, as it may send nothing.
+		return true
+	}
 	c.otherSenders = c.countOtherSenders(now)
 	chosen := make([]*pollencatalog.Server, len(c.subrequests))
 	ready := 0
@@ -76,12 +87,12 @@
 			ready++
 		}
 	}
-	if ready < c.requiredAtStart() {
+	if needed := c.requiredAtStart(); ready < needed && (c.caution != pollensuspect.SendSuspect || ready == 0) {
 		return false
 	}
-	for i, server := range chosen {
+	for _, i := range c.sendOrder() {
 		c.forwarder.config.Budget.CountRequest(c.subrequests[i].service, now)
-		c.sendFirst(i, server, now)
+		c.sendFirst(i, chosen[i], now)
 	}
 	return true
 }
@@ -110,15 +121,15 @@
 // allows no request to it, the subrequest stays pending as long as the service has an available server.
 func (c *call) sendFirst(i int, server *pollencatalog.Server, now time.Time) {
 	s := &c.subrequests[i]
-	s.pending = (server == nil || !c.send(i, server, now)) && c.hasServerBelowLimit(s, now, c.schedule.End)
+	s.pending = (server == nil || !c.maySend(now) || !c.send(i, server, now)) && c.hasServerBelowLimit(s, now, c.schedule.End)
 }
 
 // sendPending sends the pending subrequests whose servers have capacity now.
 func (c *call) sendPending(now time.Time) {
-	for i := range c.subrequests {
+	for _, i := range c.sendOrder() {
 		s := &c.subrequests[i]
 		switch {
-		case s.answer != nil || !s.pending:
+		case s.answer != nil || !s.pending || !c.maySend(now):
 		case len(s.attempts) == 0:
 			server, _ := c.chooseServer(s, now)
 			c.sendFirst(i, server, now)
@@ -131,6 +142,10 @@
 // retry sends a subrequest again, now or once a server has capacity, if its attempts and the budget allow.
 func (c *call) retry(i int, now time.Time) {
 	s := &c.subrequests[i]
+	if !c.maySend(now) {
+		s.pending = true
+		return
+	}
 	server, decision := c.decideRetry(s, now)
 	s.pending = decision == retryWhenCapacity
 	if decision == retryNow && c.send(i, server, now) {
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // call holds the state of one caller request while its subrequests run.
@@ -25,10 +27,21 @@
 	results chan result
 	// exchangeCtx ends the attempts; it may outlive the call by LateAnswerTimeout.
 	exchangeCtx context.Context
+	// caution states to how many servers the call may be sent before one has answered.
+	caution pollensuspect.Decision
+	// answered is set once a server has answered an attempt, so that the request does not end those that run it.
+	answered atomic.Bool
+	// crashRounds counts the rounds of attempts under which servers ended, lastCrash is the time of the newest.
+	crashRounds int
+	lastCrash   time.Time
 	// covered is the number of answered subrequests.
 	covered int
 	// hedged is set once HedgeAt was reached and hedges were tried, even if none was sent.
 	hedged bool
+	// hedgeDelay is the time from the start of attempts to their hedges.
+	hedgeDelay time.Duration
+	// hedgesHeld is set if hedges wait for the call's first answer.
+	hedgesHeld bool
 	// otherSenders is the number of other instances whose load counts when a server's capacity is estimated.
 	otherSenders float64
 	// callerRetry is set if the caller repeats a request that was refused.
@@ -45,6 +58,8 @@
 	attempt    int
 	answer     *Answer
 	err        error
+	// crashed is set if the server has ended.
+	crashed bool
 }
 
 // run starts the call, and retries and hedges its subrequests until it is complete or the caller has disconnected.
@@ -56,6 +71,9 @@
 		c.subrequests[i].sendCtx, c.subrequests[i].cancelUnsent = context.WithCancel(exchangeCtx)
 		defer c.subrequests[i].cancelUnsent()
 	}
+	if err := c.decideCaution(time.Now()); err != nil {
+		return nil, err
+	}
 	if err := c.admit(ctx, time.Now()); err != nil {
 		return nil, err
 	}
@@ -68,11 +86,13 @@
 			return nil, &CallerDisconnectedError{}
 		case r := <-c.results:
 			c.recordResult(r)
+			c.reviewCaution(time.Now())
 		case <-timer.C:
 			c.sendHedges(time.Now())
 		}
 		c.sendPending(time.Now())
 	}
+	c.awaitShared(ctx)
 	return c.finish(time.Now())
 }
 
@@ -90,18 +110,28 @@
 
 // exchange runs one attempt, reports its result to the ranking and the call, and starts waiting requests that now have
 // capacity.
-func (c *call) exchange(i, attemptIndex int, observation *pollenrank.Observation, request ServerRequest) {
+//
+// It ends the test of the request's content that isTest says has begun.
+func (c *call) exchange(i, attemptIndex int, observation *pollenrank.Observation, request ServerRequest, isTest bool) {
 	answer, err := c.forwarder.config.Exchanger.Exchange(c.exchangeCtx, request)
 	now := time.Now()
+	crashed := false
 	observation.Finish(outcome(request.SendContext, answer, err), now)
-	if isBroken(err) {
-		go c.forwarder.detectCrash(request, observation.Started())
+	switch {
+	case err == nil:
+		c.answered.Store(true)
+		c.forwarder.config.Suspects.RecordAnswer(request.Request.Content, now)
+	case isBroken(err) && !c.answered.Load():
+		crashed = c.awaitCrashCheck(request, observation.Started())
+	}
+	if isTest {
+		c.forwarder.config.Suspects.EndTest(request.Request.Content)
 	}
 	if limit, ok := answeredLimit(answer, err); ok {
 		c.forwarder.config.Quotas.RecordAnswer(request.Server, limit, c.forwarder.config.Table(), observation.Started(), now)
 	}
 	c.forwarder.queue.Dispatch(now)
-	c.results <- result{subrequest: i, attempt: attemptIndex, answer: answer, err: err}
+	c.results <- result{subrequest: i, attempt: attemptIndex, answer: answer, err: err, crashed: crashed}
 }
 
 // answeredLimit returns what an answer of the server itself states about its limit, or false if there was no such answer.
@@ -180,6 +210,9 @@
 		if isBroken(r.err) {
 			c.stats.Broken++
 		}
+		if r.crashed {
+			c.recordCrash(s.attempts[r.attempt].observation.Started(), time.Now())
+		}
 	}
 	if r.err != nil {
 		c.stats.LastFailure = r.err.Error()
@@ -198,11 +231,17 @@
 		return
 	}
 	c.hedged = true
+	allowed := c.hedgesAllowed()
 	for i := range c.subrequests {
 		s := &c.subrequests[i]
 		if s.answer != nil || s.inFlight == 0 {
 			continue
 		}
+		if allowed == 0 {
+			c.hedgesHeld = true
+			return
+		}
+		allowed--
 		last := &s.attempts[len(s.attempts)-1]
 		last.observation.RecordPending(now)
 		if !c.route.Idempotent {
@@ -254,7 +293,7 @@
 		}
 	}
 	enough := c.covered >= c.requiredAnswers()
-	if waiting == 0 || c.covered+waiting < c.requiredAnswers() {
+	if waiting == 0 || c.mustStop(now) || c.covered+waiting < c.requiredAnswers() {
 		return true
 	}
 	return enough && !now.Before(c.schedule.PartialReplyAt)
@@ -262,11 +301,14 @@
 
 // finish returns the reply, or an error that tells whether a server may have run the request.
 func (c *call) finish(now time.Time) (*Reply, error) {
+	harmful := c.decideCaution(now)
 	switch {
 	case c.covered >= c.requiredAnswers():
 		return c.buildReply(), nil
 	case !c.route.Sharded() && c.lastErrorAnswer != nil && c.relayable(c.lastErrorAnswer):
 		return &Reply{Answer: *c.lastErrorAnswer}, nil
+	case harmful != nil:
+		return nil, harmful
 	case c.withdrawUnsent():
 		return nil, &RefusedError{Cause: "no server took the request", RetryAfter: RetryAfterOverload(c.schedule.End.Sub(now), rand.Float64())}
 	case !now.Before(c.schedule.End):
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -20,6 +20,8 @@
 	Budget      *pollenbudget.Budget
 	ColdLimiter *pollenramp.ColdLimiter
 	Quotas      *pollenquota.Quotas
+	// Suspects decides which requests are held back because servers end under them; if it is nil, the Forwarder has its own.
+	Suspects *pollensuspect.Registry
 	// Table returns the current table.
 	Table func() *pollencatalog.Table
 	// CallerRoundTrip is the network round-trip time between caller and instance.
@@ -43,7 +45,12 @@
 }
 
 // New returns a Forwarder whose StaleConnectionPeriod begins now.
-func New(config Config) *Forwarder { return &Forwarder{config: config, started: time.Now()} }
+func New(config Config) *Forwarder {
+	if config.Suspects == nil {
+		config.Suspects = pollensuspect.New(pollensuspect.Config{})
+	}
+	return &Forwarder{config: config, started: time.Now()}
+}
 
 // hedgeBudgetShare is the share of the retry ratio that hedges may use; the rest is left for retries.
 const hedgeBudgetShare = 0.5
@@ -53,7 +60,7 @@
 
 // Serve sends the request to the route's services and returns the reply with statistics on its subrequests.
 //
-// Its errors are *RefusedError, *FailedError and *CallerDisconnectedError.
+// Its errors are *RefusedError, *FailedError, *HarmfulRequestError and *CallerDisconnectedError.
 func (f *Forwarder) Serve(ctx context.Context, route *pollencatalog.Route, request *Request) (*Reply, *Stats, error) {
 	services := route.Shards
 	if !route.Sharded() {
@@ -70,6 +77,7 @@
 		}),
 		callerRetry: f.callerRetries.isRetry(route.Name, request.CallerTimeout, request.Received),
 		subrequests: make([]subrequest, len(services)),
+		caution:     pollensuspect.Send,
 		results:     make(chan result, len(services)*(route.Attempts+extraSends)),
 	}
 	for i, service := range services {
@@ -106,6 +114,8 @@
 	Sends, Hedges, Retries int
 	// CallerRetry is set if the caller repeats a refused request.
 	CallerRetry bool
+	// Cautious is set if there was evidence against the request, or a reason to send it to one server first.
+	Cautious bool
 	// QueueTime is how long the request waited for capacity.
 	QueueTime time.Duration
 	// Refusals counts attempts that no server ran, Failures those that may have run without a usable answer.
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -167,6 +167,16 @@
 
 func (e *FailedError) Error() string { return fmt.Sprintf("request failed: %s", e.Cause) }
 
+// HarmfulRequestError reports a request that is not sent, or no longer sent, because servers end under such requests.
+type HarmfulRequestError struct {
+	Verdict pollensuspect.Verdict
+}
+
+func (e *HarmfulRequestError) Error() string {
+	return fmt.Sprintf("servers end under requests of this content (%v): refused from %s until %s", e.Verdict.Content,
+		e.Verdict.Since.UTC().Format(time.RFC3339), e.Verdict.Until.UTC().Format(time.RFC3339))
+}
+
 // CallerDisconnectedError reports that the caller closed its connection before the reply.
 type CallerDisconnectedError struct{}
 
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -7,6 +7,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // subrequest is the part of a call that one service answers.
@@ -39,7 +40,14 @@
 func (c *call) send(i int, server *pollencatalog.Server, now time.Time) bool {
 	s := &c.subrequests[i]
 	table := c.forwarder.config.Table()
+	isTest := c.caution == pollensuspect.SendSuspect && !c.answered.Load()
+	if isTest && !c.forwarder.config.Suspects.TryTest(c.request.Content, now) {
+		return false
+	}
 	if !c.forwarder.config.Quotas.TryAcquire(server, s.sends > 0, table, now) || !c.forwarder.config.ColdLimiter.TryAcquire(server, table, now) {
+		if isTest {
+			c.forwarder.config.Suspects.EndTest(c.request.Content)
+		}
 		return false
 	}
 	observation := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
@@ -54,7 +62,7 @@
 		ConnectionLimit: c.forwarder.connectionLimit(table, s.service, now), SendContext: s.sendCtx, SendGuard: guard,
 		MaxAnswerBytes: maxPartBytes(c.route),
 	}
-	go c.exchange(i, len(s.attempts)-1, observation, request)
+	go c.exchange(i, len(s.attempts)-1, observation, request, isTest)
 	return true
 }
 
@@ -78,6 +86,9 @@
 // Load pattern: every server loses a share of its answers. With two replicas, a second round on tried servers often
 // succeeds, and stays within the number of servers that may run the request.
 func (c *call) chooseServer(s *subrequest, now time.Time) (*pollencatalog.Server, bool) {
+	if c.risksLastServer(s, now) {
+		return nil, false
+	}
 	table := c.forwarder.config.Table()
 	var untried, tried []*pollencatalog.Server
 	for _, server := range table.AppendEligible(nil, s.service) {
--- a/pollen/pollenpool/pool_test.go
+++ b/pollen/pollenpool/pool_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,3 +135,38 @@
 		c.Assert(p.hosts, qt.HasLen, 0)
 	})
 }
+
+// Only a refused connection says that a server has ended; a connection that is opened to find out must be of use.
+func TestRefusesOnlyEndedServers(t *testing.T) {
+	tests := []struct {
+		name  string
+		err   error
+		limit int
+		want  bool
+		idle  int
+	}{
+		{"refused", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, 2, true, 0},
+		{"timeout", &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, 2, false, 0},
+		{"accepted", nil, 2, false, 1},
+		{"at the limit", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, 0, false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p := New(Config{DialTimeout: time.Second, IdleTimeout: 5 * time.Second, Dial: func(context.Context, string, string) (net.Conn, error) {
+					if test.err != nil {
+						return nil, test.err
+					}
+					client, remote := net.Pipe()
+					go func() { _, _ = io.Copy(io.Discard, remote) }()
+					return client, nil
+				}})
+				c.Assert(p.Refuses(t.Context(), server, test.limit), qt.Equals, test.want)
+				c.Assert(len(p.host(server).idle), qt.Equals, test.idle)
+				c.Assert(p.host(server).openConns, qt.Equals, test.idle)
+				p.Retain(nil)
+			})
+		})
+	}
+}
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -179,14 +179,20 @@
 
 // AnyAvailable reports whether at least one server is neither ejected nor unresponsive.
 func (r *Ranking) AnyAvailable(candidates []*pollencatalog.Server, now time.Time) bool {
+	return r.CountAvailable(candidates, now) > 0
+}
+
+// CountAvailable returns the number of servers that are neither ejected nor unresponsive.
+func (r *Ranking) CountAvailable(candidates []*pollencatalog.Server, now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	count := 0
 	for _, candidate := range candidates {
 		if !r.server(candidate).isUnavailable(now) {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // Prune removes the estimates for servers that the table no longer holds.
--- a/pollen/pollenrelay/seeds.go
+++ b/pollen/pollenrelay/seeds.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenline.example/pollen/pollenstore"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // SeedsConfig holds the parameters of Seeds.
@@ -21,6 +22,8 @@
 	Timeout time.Duration
 	// Dial connects to a peer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Suspects gets the seeds' evidence against requests; if it is nil, that is dropped.
+	Suspects *pollensuspect.Registry
 }
 
 // Seeds are instances that are known from the settings, from which an instance learns the store's keys when it starts
@@ -30,7 +33,12 @@
 }
 
 // NewSeeds returns Seeds that are not connected.
-func NewSeeds(config SeedsConfig) *Seeds { return &Seeds{config: config} }
+func NewSeeds(config SeedsConfig) *Seeds {
+	if config.Suspects == nil {
+		config.Suspects = pollensuspect.New(pollensuspect.Config{})
+	}
+	return &Seeds{config: config}
+}
 
 // NoSeedError reports that no seed has returned any keys.
 type NoSeedError struct {
@@ -95,6 +103,7 @@
 	if err != nil {
 		return pollenstore.Listing{}, err
 	}
+	s.config.Suspects.Merge(reply.Suspects, time.Now())
 	if reply.Listing.Revision == 0 {
 		return reply.Listing, &EmptyReplicaError{Address: address}
 	}
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -14,6 +14,7 @@
 	"pollenline.example/pollen/pollenreplica"
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollenstore"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // ListRequest is the argument of Relay.List, which returns all keys.
@@ -30,9 +31,16 @@
 	Era   uint64
 	// Wait is how long the call may be held without an event.
 	Wait time.Duration
+	// SuspectsVersion is the version of the watcher's evidence that the follower has.
+	SuspectsVersion uint64
 }
 
-// Reply is the result of Relay.List, Relay.ListKnown and Relay.Watch.
+// SuspectsRequest is the argument of Relay.ShareSuspects, which exchanges the evidence of two instances.
+type SuspectsRequest struct {
+	Suspects pollensuspect.Message
+}
+
+// Reply is the result of the methods of Relay.
 type Reply struct {
 	Listing pollenstore.Listing
 	Changes pollenstore.Changes
@@ -42,12 +50,16 @@
 	Stale bool
 	// Rank is the number of standby followers that come before this one, Standbys that of all standby followers.
 	Rank, Standbys int
+	// Suspects is the instance's evidence against requests; it is empty if the caller has its version.
+	Suspects pollensuspect.Message
 }
 
 // ServerConfig holds the parameters of a Server.
 type ServerConfig struct {
 	// MaxStaleness is the longest time since the store's last answer for which the replica is served.
 	MaxStaleness time.Duration
+	// Suspects holds the evidence against requests under which servers ended; if it is nil, there is none.
+	Suspects *pollensuspect.Registry
 }
 
 // Server holds a replica of the store and serves it to other instances.
@@ -71,6 +83,9 @@
 
 // NewServer returns a Server whose replica is empty and stale.
 func NewServer(config ServerConfig) *Server {
+	if config.Suspects == nil {
+		config.Suspects = pollensuspect.New(pollensuspect.Config{})
+	}
 	return &Server{config: config, replica: pollenreplica.New(), followers: make(map[string]follower)}
 }
 
@@ -121,6 +136,7 @@
 	methodList      = serviceName + ".List"
 	methodWatch     = serviceName + ".Watch"
 	methodListKnown = serviceName + ".ListKnown"
+	methodSuspects  = serviceName + ".ShareSuspects"
 	// acceptRetryDelay keeps a failing listener from using the whole processor.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -172,12 +188,25 @@
 // ListKnown returns all keys of the replica, even if it is stale; its revision is 0 if the replica was never filled.
 func (s *service) ListKnown(_ ListRequest, reply *Reply) error {
 	reply.Listing, reply.Stale = s.server.replica.List(""), s.server.stale()
+	reply.Suspects = s.server.config.Suspects.Message(time.Now())
+	return nil
+}
+
+// ShareSuspects adds the caller's evidence and returns this instance's.
+func (s *service) ShareSuspects(request SuspectsRequest, reply *Reply) error {
+	s.server.config.Suspects.Merge(request.Suspects, time.Now())
+	reply.Suspects = s.server.config.Suspects.Message(time.Now())
 	return nil
 }
 
 // Watch waits for events after a revision and ranks the follower that calls.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
 	reply.Rank, reply.Standbys = s.server.updateRank(request.Follower, request.Standby)
+	defer func() {
+		if suspects := s.server.config.Suspects; suspects.Version() != request.SuspectsVersion {
+			reply.Suspects = suspects.Message(time.Now())
+		}
+	}()
 	after := pollenstore.Position{Era: request.Era, Revision: request.After}
 	if reply.Stale = s.server.stale() || after.LaterEra(s.server.replica.Position()); reply.Stale {
 		return nil
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -13,6 +13,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenstore"
+	"pollenline.example/pollen/pollensuspect"
 )
 
 // Reader reads the store itself.
@@ -39,6 +40,8 @@
 	Watcher func() (netip.AddrPort, bool)
 	// ListedWatcher returns the address of the zone's watcher that a listing of the store names.
 	ListedWatcher func(pollenstore.Listing) (netip.AddrPort, bool)
+	// Suspects gets the watcher's evidence against requests; if it is nil, that is dropped.
+	Suspects *pollensuspect.Registry
 	// WatchWait is how long the watcher may hold a watch without an event.
 	WatchWait time.Duration
 	// WatchSlack is how long after WatchWait the watcher may answer before it counts as unresponsive.
@@ -59,12 +62,17 @@
 	// newest is the latest position that the store or a watcher has answered with.
 	newest pollenstore.Position
 	rank   atomic.Int64
+	// suspectsVersion is the version of the evidence that a watcher has sent last.
+	suspectsVersion uint64
 	// standbys is the number of standby instances of the zone.
 	standbys atomic.Int64
 }
 
 // NewSource returns a Source that is not connected to a watcher.
 func NewSource(config SourceConfig) *Source {
+	if config.Suspects == nil {
+		config.Suspects = pollensuspect.New(pollensuspect.Config{})
+	}
 	return &Source{config: config, watcher: peerConn{dial: config.Dial}}
 }
 
@@ -98,6 +106,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSlack)
 	defer cancel()
 	reply, err := s.watcher.call(ctx, address, methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era})
+	if err == nil {
+		s.mergeSuspects(reply)
+	}
 	if err != nil || reply.Stale || reply.Compacted {
 		return pollenstore.Changes{}, false
 	}
@@ -123,6 +134,7 @@
 	s.newest = s.newest.Advance(after)
 	reply, ok := s.callWatcher(ctx, methodWatch, WatchRequest{
 		Follower: s.config.Self, Standby: s.config.Standby(), After: after.Revision, Era: after.Era, Wait: min(wait, s.config.WatchWait),
+		SuspectsVersion: s.suspectsVersion,
 	})
 	if ok {
 		s.storeRank(reply)
@@ -165,6 +177,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchWait+s.config.WatchSlack)
 	defer cancel()
 	reply, err := s.watcher.call(ctx, address, method, request)
+	if err == nil {
+		s.mergeSuspects(reply)
+	}
 	if err == nil && (reply.Stale || s.isOfEarlierEra(reply)) {
 		err = &StaleError{Address: address}
 	}
@@ -172,6 +187,14 @@
 	return reply, err == nil
 }
 
+// mergeSuspects adds the evidence of a reply, which holds none if it is unchanged.
+func (s *Source) mergeSuspects(reply *Reply) {
+	if reply.Suspects.Version != 0 {
+		s.config.Suspects.Merge(reply.Suspects, time.Now())
+		s.suspectsVersion = reply.Suspects.Version
+	}
+}
+
 func (s *Source) storeRank(reply *Reply) {
 	s.rank.Store(int64(reply.Rank))
 	s.standbys.Store(int64(reply.Standbys))
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -10,10 +10,10 @@
 	"net/netip"
 	"reflect"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
 	"pollenline.example/platform"
@@ -29,6 +29,7 @@
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenrelay"
 	"pollenline.example/pollen/pollensettings"
+	"pollenline.example/pollen/pollensuspect"
 	"pollenline.example/pollen/pollenview"
 )
 
@@ -43,9 +44,12 @@
 	ranking     *pollenrank.Ranking
 	coldLimiter *pollenramp.ColdLimiter
 	quotas      *pollenquota.Quotas
-	registrar   *pollenfollow.Registrar
-	follower    *pollenfollow.Follower
-	metrics     *metrics
+	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
+	suspects  *pollensuspect.Registry
+	sharer    *pollenrelay.Sharer
+	registrar *pollenfollow.Registrar
+	follower  *pollenfollow.Follower
+	metrics   *metrics
 	// memory bounds the bodies that are held for callers' requests.
 	memory *pollenmemory.Budget
 	// relay serves the local replica of the store to other instances.
@@ -88,6 +92,8 @@
 	departedRetention = 15 * time.Second
 	// seedTimeout bounds how long other instances are asked for the keys when the store does not answer at startup.
 	seedTimeout = 500 * time.Millisecond
+	// shareTimeout bounds an exchange of evidence against requests with another instance.
+	shareTimeout = 500 * time.Millisecond
 	// collectionMemoryShare is the share of the instance's memory above which the garbage collector runs more often.
 	collectionMemoryShare = 0.8
 	// tickInterval is the resolution of time-dependent state in the view.
@@ -135,10 +141,12 @@
 		memory:       pollenmemory.New(pollenmemory.Config{LimitBytes: settings.bodyBytes()}),
 		configured:   make(chan struct{}),
 		tableChanged: make(chan struct{}, 1),
-		relay:        pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare)}),
+		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
+	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects})
+	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
-	f.metrics = newMetrics(f.quotas.LimitedServers)
+	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused)
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -153,11 +161,11 @@
 	})
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
-		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer,
+		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
 		WatchWait: scale(settings.ConfigurationDelay, peerWaitShare), WatchSlack: scale(settings.ConfigurationDelay, peerSlackShare),
 	})
 	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
-		Reader: f.source, Seeds: pollenrelay.NewSeeds(pollenrelay.SeedsConfig{Addresses: settings.otherSeeds(), Timeout: seedTimeout, Dial: dialPeer}),
+		Reader: f.source, Seeds: pollenrelay.NewSeeds(pollenrelay.SeedsConfig{Addresses: settings.otherSeeds(), Timeout: seedTimeout, Dial: dialPeer, Suspects: f.suspects}),
 		Post: f.handleStoreMessage, WatchWait: scale(settings.ConfigurationDelay, watchWaitShare), StartupDelay: settings.startupDelay(f.self), BatchDelay: settings.StorePause.Std(),
 	})
 	key, value, err := pollenplatform.EncodeInstance(f.self)
@@ -173,7 +181,7 @@
 			Instances: f.callerInstances, TTL: min(settings.LongestLifetime.Std(), scale(settings.StopTimeout, directoryLifetimeShare)),
 		})),
 		f.newHTTPServer(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
-		f.newHTTPServer(settings.MetricsAddress, promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{})),
+		f.newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
 	return f, nil
 }
@@ -184,6 +192,7 @@
 		Ranking:               f.ranking,
 		ColdLimiter:           f.coldLimiter,
 		Quotas:                f.quotas,
+		Suspects:              f.suspects,
 		Budget:                f.retryBudget,
 		Table:                 f.view.Table,
 		CallerRoundTrip:       f.settings.Load().CallerTrip.Std(),
@@ -218,6 +227,7 @@
 	}
 	go func() { serveErrors <- f.relay.Serve(peerListener) }()
 	go f.follower.Run(backgroundCtx)
+	go f.sharer.Run(backgroundCtx)
 	go f.runTicker(backgroundCtx)
 	go func() {
 		defer close(unregistered)
@@ -352,6 +362,11 @@
 	return ready
 }
 
+// otherInstances returns the registered instances other than this one.
+func (f *Frontend) otherInstances() []pollencatalog.Instance {
+	return slices.DeleteFunc(slices.Clone(f.view.Table().Instances()), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
+}
+
 func (f *Frontend) runTicker(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -14,8 +14,9 @@
 	requests *prometheus.CounterVec
 }
 
-// newMetrics returns the collectors; limitedServers returns the number of servers that state a limit.
-func newMetrics(limitedServers func() int) *metrics {
+// newMetrics returns the collectors; limitedServers returns the number of servers that state a limit, refusedContents that
+// of the contents of which requests are refused.
+func newMetrics(limitedServers, refusedContents func() int) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -28,7 +29,9 @@
 	}
 	m.registry.MustRegister(m.latency, m.requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
-	}, func() float64 { return float64(limitedServers()) }))
+	}, func() float64 { return float64(limitedServers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pollen_refused_contents", Help: "Contents of which requests are refused because servers end under them.",
+	}, func() float64 { return float64(refusedContents()) }))
 	return m
 }
 
