Eject a server that refuses a connection at once

An instance sent four requests to a server that had ended before it left the server out. A refused connection is certain, unlike a lost answer: the server is ejected at once, and probed as before.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -155,9 +155,12 @@
 // outcome classifies the result of an attempt for the ranking.
 func outcome(sendCtx context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
+	var unsent *UnsentError
 	switch {
 	case errors.As(err, &notRun) && notRun.Misdirected:
 		return pollenrank.Misdirected
+	case errors.As(err, &unsent) && unsent.Refused:
+		return pollenrank.Refused
 	case errors.As(err, &notRun):
 		return pollenrank.Shed
 	case err != nil && sendCtx.Err() != nil:
--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -40,7 +40,11 @@
 // table, ends by itself.
 func (c *call) detectCrash(request ServerRequest, sentAt time.Time) bool {
 	f := c.forwarder
-	if !f.crashes.refused(request, f.config.Exchanger) || c.answered.Load() {
+	if !f.crashes.refused(request, f.config.Exchanger) {
+		return false
+	}
+	f.config.Ranking.RecordRefusal(request.Server, time.Now())
+	if c.answered.Load() {
 		return false
 	}
 	expected := !f.config.Table().Accepts(request.Server)
--- a/pollen/pollenforward/crash_test.go
+++ b/pollen/pollenforward/crash_test.go
@@ -91,7 +91,7 @@
 	defer e.mu.Unlock()
 	id, content := request.Server.ID, request.Request.Content
 	if time.Now().Before(e.downTil[id]) {
-		return nil, &UnsentError{Server: id, Err: errors.New("connection refused")}
+		return nil, &UnsentError{Server: id, Refused: true, Err: errors.New("connection refused")}
 	}
 	if e.deadly[content] {
 		if e.deadlySends[content] == nil {
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -110,7 +110,9 @@
 // UnsentError reports a request of which no byte was sent.
 type UnsentError struct {
 	Server string
-	Err    error
+	// Refused is set if the server refused the connection.
+	Refused bool
+	Err     error
 }
 
 func (e *UnsentError) Error() string {
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -35,6 +35,8 @@
 	Shed
 	// Misdirected is a refusal by another server that now uses the address.
 	Misdirected
+	// Refused is a refused connection: the server's process has ended, or the server is cut off from this instance.
+	Refused
 	// Failed is a connection that could not be opened or broke, an invalid answer or a 5xx status.
 	Failed
 	// Abandoned is a request that ended without an answer after its answer was no longer needed or its time was over; its
@@ -195,6 +197,15 @@
 	return count
 }
 
+// RecordRefusal records that a server refuses connections, and ejects it.
+func (r *Ranking) RecordRefusal(refusing *pollencatalog.Server, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.server(refusing)
+	s.recordRefusal(now)
+	s.updated = now
+}
+
 // Prune removes the estimates for servers that the table no longer holds.
 func (r *Ranking) Prune(table *pollencatalog.Table) {
 	r.mu.Lock()
@@ -250,6 +261,8 @@
 		s.consecutiveFailures, s.ejectedUntil = 0, time.Time{}
 	case Misdirected:
 		s.recordMisdirection(now)
+	case Refused:
+		s.recordRefusal(now)
 	case Failed:
 		s.failureRate += sampleWeight * (1 - s.failureRate)
 		s.recordFailure(now)
@@ -376,6 +389,17 @@
 	s.ejectedUntil = now.Add(maxEjection)
 }
 
+// recordRefusal ejects the server. Load pattern: servers end under load; each request that is sent to one of them first uses up
+// the budget for retries.
+func (s *server) recordRefusal(now time.Time) {
+	s.failureRate, s.lastAnswer = 1, time.Time{}
+	if now.Before(s.ejectedUntil) {
+		return
+	}
+	s.consecutiveFailures = max(s.consecutiveFailures, ejectionFailures-1)
+	s.recordFailure(now)
+}
+
 // isFailing reports whether the server has failed often enough to be ejected; it then gets single probes only.
 func (s *server) isFailing(now time.Time) bool {
 	return s.consecutiveFailures >= ejectionFailures && now.Sub(s.lastAnswer) > ejectionAnswerAge
--- a/pollen/pollenrank/rank_test.go
+++ b/pollen/pollenrank/rank_test.go
@@ -113,6 +113,31 @@
 	c.Assert(counts[0], qt.Equals, 1)
 }
 
+// Load pattern: a server ends for two seconds, and twenty requests a second would go to it. One refused connection must be enough
+// to eject it, and it must be found soon after its return.
+func TestRefusingServerIsEjectedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	r := newRanking(1)
+	one := newServers(1)
+	sent := 0
+	for now := start; now.Before(start.Add(4 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		if _, ok := r.Best("r", one, now); !ok {
+			continue
+		}
+		o := r.Start("r", one[0], now)
+		if down := now.Before(start.Add(2 * time.Second)); down {
+			sent++
+			o.Finish(Refused, now)
+		} else {
+			o.Finish(Answered, now.Add(time.Millisecond))
+		}
+	}
+	c.Assert(sent <= 3, qt.IsTrue, qt.Commentf("%d requests while it was down", sent))
+	c.Assert(r.AnyAvailable(one, start.Add(4*time.Second)), qt.IsTrue)
+	r.RecordRefusal(one[0], start.Add(5*time.Second))
+	c.Assert(r.AnyAvailable(one, start.Add(5*time.Second)), qt.IsFalse)
+}
+
 // A server whose only request stalls must get no further ones.
 func TestStalledServerIsAvoided(t *testing.T) {
 	c := qt.New(t)
