Count rounds of several instances once if they were simultaneous

Evidence of instances added up even if they saw the same event. Instances that lose their links to the servers by resets at the same time each count one round against a content that is in flight at all of them; three were a verdict against a harmless content. A round now says when its request was sent, and counts only if that was after the round before it had ended.

--- a/pollen/pollenrelay/peer.go
+++ b/pollen/pollenrelay/peer.go
@@ -21,14 +21,8 @@
 
 // call calls a method over the connection to address, and closes the connection if the call fails.
 func (p *peerConn) call(ctx context.Context, address netip.AddrPort, method string, request any) (*Reply, error) {
-	if p.client == nil || p.address != address {
-		p.close()
-		conn, err := p.dial(ctx, address)
-		if err != nil {
-			p.address = address
-			return nil, err
-		}
-		p.client, p.conn, p.address = rpc.NewClient(conn), conn, address
+	if err := p.connect(ctx, address); err != nil {
+		return nil, err
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		// rpc.Client sets no write deadline itself.
@@ -51,6 +45,21 @@
 	}
 }
 
+// connect opens the connection to address, unless there is one.
+func (p *peerConn) connect(ctx context.Context, address netip.AddrPort) error {
+	if p.client != nil && p.address == address {
+		return nil
+	}
+	p.close()
+	p.address = address
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.client, p.conn = rpc.NewClient(conn), conn
+	return nil
+}
+
 // close closes the connection, if there is one.
 func (p *peerConn) close() {
 	if p.client == nil {
--- a/pollen/pollenrelay/sharer.go
+++ b/pollen/pollenrelay/sharer.go
@@ -141,6 +141,10 @@
 	defer cancel()
 	conn := peerConn{dial: s.config.Dial}
 	defer conn.close()
+	// The ages in the message count from when it is sent.
+	if err := conn.connect(ctx, address); err != nil {
+		return err
+	}
 	reply, err := conn.call(ctx, address, methodSuspects, SuspectsRequest{Suspects: s.config.Suspects.Message(time.Now())})
 	if err != nil {
 		return err
--- a/pollen/pollensuspect/message.go
+++ b/pollen/pollensuspect/message.go
@@ -31,7 +31,8 @@
 	Instance string
 	// Servers holds the IDs of the servers that ended.
 	Servers []string
-	Age     time.Duration
+	// Age is the time since a server was found to have ended, SentAge that since its request was sent.
+	Age, SentAge time.Duration
 }
 
 // Message returns all evidence.
@@ -49,7 +50,7 @@
 			shared.Cleared, shared.ClearedAge = true, now.Sub(rec.clearedAt)
 		}
 		for _, own := range rec.rounds {
-			shared.Rounds = append(shared.Rounds, Round{ID: own.id, Instance: own.instance, Servers: slices.Clone(own.servers), Age: now.Sub(own.endedAt)})
+			shared.Rounds = append(shared.Rounds, Round{ID: own.id, Instance: own.instance, Servers: slices.Clone(own.servers), Age: now.Sub(own.endedAt), SentAge: now.Sub(own.sentAt)})
 		}
 		m.Records = append(m.Records, shared)
 	}
@@ -74,6 +75,10 @@
 	}
 }
 
+// messageDelay is the longest time that a message usually takes. The requests of a round may have been sent that much earlier than
+// its age says; without that, rounds that were simultaneous would seem to follow each other.
+const messageDelay = 15 * time.Millisecond
+
 // clockTolerance is by how much the ages of one event may differ between two instances: the way of a message between them.
 const clockTolerance = 500 * time.Millisecond
 
@@ -99,7 +104,7 @@
 		if !endedAt.After(rec.clearedAt) || rec.knows(added.ID) || rec.dropped(endedAt) {
 			continue
 		}
-		rec.addRound(round{id: added.ID, instance: added.Instance, servers: added.Servers, endedAt: endedAt})
+		rec.addRound(round{id: added.ID, instance: added.Instance, servers: added.Servers, sentAt: now.Add(-max(added.SentAge, added.Age) - messageDelay), endedAt: endedAt})
 		changed = true
 	}
 	if len(rec.rounds) == 0 {
--- a/pollen/pollensuspect/registry.go
+++ b/pollen/pollensuspect/registry.go
@@ -55,15 +55,16 @@
 	testing bool
 }
 
-// round is one time at which servers ended under a request. Servers that end under requests which were in flight at the same
-// time make up one round: all but one of these requests may be harmless.
+// round is one time at which servers ended under a request, as one instance saw it. Servers that end under requests which were in
+// flight at the same time make up one round: all but one of these requests may be harmless.
 type round struct {
 	// id is unique among the rounds of all instances.
 	id       string
 	instance string
 	// servers holds the IDs of the servers that ended, maxServers at most.
 	servers []string
-	endedAt time.Time
+	// sentAt is when the first of the requests was sent, endedAt when its server was found to have ended.
+	sentAt, endedAt time.Time
 }
 
 const (
@@ -87,7 +88,7 @@
 	probationDuration = 10 * time.Minute
 	// maxRecords bounds the number of contents with evidence; maxRounds bounds the rounds kept of each.
 	maxRecords = 512
-	maxRounds  = 4
+	maxRounds  = 8
 	// maxServers bounds the servers that are kept of each round.
 	maxServers = 256
 	// endedMemory is how long a server that ended is taken to be away.
@@ -173,16 +174,16 @@
 		return
 	}
 	for i := range rec.rounds {
-		if last := &rec.rounds[i]; sentAt.Before(last.endedAt) {
-			if last.instance == r.config.InstanceName && len(last.servers) < maxServers && !slices.Contains(last.servers, server) {
-				last.servers = append(last.servers, server)
+		if own := &rec.rounds[i]; own.instance == r.config.InstanceName && sentAt.Before(own.endedAt) {
+			if len(own.servers) < maxServers && !slices.Contains(own.servers, server) {
+				own.servers = append(own.servers, server)
 				r.noteChange(true)
 			}
 			return
 		}
 	}
 	id := fmt.Sprintf("%s/%016x", r.config.InstanceName, rand.Uint64())
-	rec.addRound(round{id: id, instance: r.config.InstanceName, servers: []string{server}, endedAt: now})
+	rec.addRound(round{id: id, instance: r.config.InstanceName, servers: []string{server}, sentAt: sentAt, endedAt: now})
 	r.judge(content, rec, now)
 	r.noteChange(true)
 }
@@ -321,7 +322,7 @@
 	if r.countRecentSuspects(rec.route, now) >= alertContents {
 		r.alertUntil[rec.route] = later(r.alertUntil[rec.route], last.endedAt.Add(alertDuration))
 	}
-	if len(rec.rounds) < verdictRounds || !last.endedAt.After(rec.refusedUntil) {
+	if rec.countRounds() < verdictRounds || !last.endedAt.After(rec.refusedUntil) {
 		return
 	}
 	duration := min(firstVerdictDuration<<min(rec.verdicts, maxDoublings), longestVerdict)
@@ -337,7 +338,7 @@
 func (r *Registry) countRecentSuspects(route string, now time.Time) int {
 	count := 0
 	for _, rec := range r.records {
-		if n := len(rec.rounds); rec.route == route && n >= alertRounds && now.Sub(rec.rounds[n-1].endedAt) < alertMemory {
+		if rec.route == route && rec.countRounds() >= alertRounds && now.Sub(rec.rounds[len(rec.rounds)-1].endedAt) < alertMemory {
 			count++
 		}
 	}
@@ -404,6 +405,19 @@
 	rec.rounds = rec.rounds[max(0, len(rec.rounds)-maxRounds):]
 }
 
+// countRounds returns the number of rounds of which each was sent after the one before it had ended. Others are no evidence of
+// their own: instances that lose their links to the servers at the same time all see their requests break.
+func (rec *record) countRounds() int {
+	count, lastEnd := 0, time.Time{}
+	for _, r := range rec.rounds {
+		if !r.sentAt.Before(lastEnd) {
+			count++
+			lastEnd = r.endedAt
+		}
+	}
+	return count
+}
+
 // clearRounds removes the evidence up to a time, and the verdict if nothing is left.
 func (rec *record) clearRounds(at time.Time) {
 	rec.clearedAt = at
--- a/pollen/pollensuspect/registry_test.go
+++ b/pollen/pollensuspect/registry_test.go
@@ -124,7 +124,7 @@
 
 // Evidence of several instances must add up at each of them, whichever way it takes, and an answer must clear it at all.
 func TestEvidenceOfInstancesAddsUp(t *testing.T) {
-	const delay = 20 * time.Millisecond
+	const delay = 10 * time.Millisecond
 	tests := []struct {
 		name string
 		run  func(a, b, c *Registry, share func(from, to *Registry))
@@ -170,6 +170,16 @@
 			share(b, c)
 			share(c, a)
 		}, Send},
+		{"one round each at the same time", func(a, b, c *Registry, share func(from, to *Registry)) {
+			for _, r := range []*Registry{a, b, c} {
+				crash(r, "s")
+			}
+			for range 2 {
+				share(a, b)
+				share(b, c)
+				share(c, a)
+			}
+		}, SendSuspect},
 		{"restart of an instance", func(a, b, c *Registry, share func(from, to *Registry)) {
 			crashes(a, 1)
 			share(a, b)
