Pass requests on while an instance reaches no backend servers

Cause: an instance had no other way to the servers than its own links, left servers out one by one, and told nobody. Class: a partial partition, in which those that are reached can't reach on.

Now each instance watches whether it reaches the servers, passes requests on to others by one hop while it does not, and says so in its key, so that directories name others and standbys take its place.

--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -121,4 +121,6 @@
 	Incarnation string
 	// Ready is set while the instance accepts new callers.
 	Ready bool
+	// CutOff is set while the instance reaches no backend servers and passes its requests on to others.
+	CutOff bool
 }
--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -17,6 +17,7 @@
 	servers           map[string][]*Server
 	evacuatedZones    map[string]bool
 	instances         []Instance
+	senders           []Instance
 	departedInstances int
 }
 
@@ -41,6 +42,10 @@
 		instances:         slices.SortedFunc(slices.Values(config.Instances), compareInstances),
 		departedInstances: config.DepartedInstances,
 	}
+	t.senders = slices.DeleteFunc(slices.Clone(t.instances), func(i Instance) bool { return i.CutOff })
+	if len(t.senders) == 0 {
+		t.senders = t.instances
+	}
 	for _, s := range config.Servers {
 		t.servers[s.Service] = append(t.servers[s.Service], s)
 	}
@@ -59,6 +64,10 @@
 // Instances returns the registered instances, ordered by name.
 func (t *Table) Instances() []Instance { return t.instances }
 
+// Senders returns the registered instances that send requests to backend servers: those that reach them, or all if none says that it
+// does.
+func (t *Table) Senders() []Instance { return t.senders }
+
 // SharerCount returns the number of instances among which limits are divided, at least one.
 //
 // Departed instances count up to the number of the present ones: more cannot have held a share at the same time.
--- a/pollen/pollenfollow/follow_test.go
+++ b/pollen/pollenfollow/follow_test.go
@@ -482,7 +482,7 @@
 				c := qt.New(t)
 				store := &leaseStore{keys: make(map[string]uint64)}
 				interruptions := 0
-				r := NewRegistrar(RegistrarConfig{Writer: store, Key: "k", LeaseDuration: 3 * time.Second, OnInterruption: func() { interruptions++ }})
+				r := NewRegistrar(RegistrarConfig{Writer: store, Key: "k", Value: func() ([]byte, error) { return nil, nil }, LeaseDuration: 3 * time.Second, OnInterruption: func() { interruptions++ }})
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
 				go func() { defer close(done); r.Run(ctx) }()
--- a/pollen/pollenfollow/register.go
+++ b/pollen/pollenfollow/register.go
@@ -27,7 +27,8 @@
 type RegistrarConfig struct {
 	Writer Writer
 	Key    string
-	Value  []byte
+	// Value returns the key's value; Rewrite must be called when it changes.
+	Value func() ([]byte, error)
 	// LeaseDuration is how long the key remains after its instance has died.
 	LeaseDuration time.Duration
 	// OnInterruption is called when a registered instance could not renew its lease for a time: when a renewal or a
@@ -54,7 +55,7 @@
 // revokeTimeout bounds the call that revokes the lease at shutdown.
 const revokeTimeout = time.Second
 
-// Rewrite makes the registrar write its key again; it is called when the key is missing from the store.
+// Rewrite makes the registrar write its key again; it is called when the key is missing from the store, or its value has changed.
 func (r *Registrar) Rewrite() {
 	select {
 	case r.rewrite <- struct{}{}:
@@ -85,7 +86,16 @@
 	if err != nil {
 		return lease, err
 	}
-	return lease, r.config.Writer.Put(ctx, r.config.Key, r.config.Value, lease)
+	return lease, r.put(ctx, lease)
+}
+
+// put writes the key.
+func (r *Registrar) put(ctx context.Context, lease pollenstore.Lease) error {
+	value, err := r.config.Value()
+	if err != nil {
+		return err
+	}
+	return r.config.Writer.Put(ctx, r.config.Key, value, lease)
 }
 
 // keepLease renews the lease until it has expired or ctx is done, and writes the key again when asked to.
@@ -102,8 +112,8 @@
 		case <-timer.C:
 			err = r.config.Writer.Renew(ctx, lease)
 		case <-r.rewrite:
-			klog.InfoS("Instance key is missing, writing it again", "key", r.config.Key)
-			err = r.config.Writer.Put(ctx, r.config.Key, r.config.Value, lease)
+			klog.InfoS("Instance key is missing or out of date, writing it again", "key", r.config.Key)
+			err = r.put(ctx, lease)
 		}
 		if failing && err == nil || errors.As(err, &gone) {
 			r.config.OnInterruption()
--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -31,6 +31,7 @@
 	if available < c.requiredAnswers() {
 		return &RefusedError{
 			Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.subrequests), c.requiredAnswers()),
+			Unreached:  true,
 			RetryAfter: RetryAfterOutage(timeLeft),
 		}
 	}
@@ -105,7 +106,7 @@
 	for i := range c.subrequests {
 		servers = table.AppendEligible(servers, c.subrequests[i].service)
 	}
-	return c.forwarder.config.Ranking.OtherSenders(servers, len(table.Instances()), now)
+	return c.forwarder.config.Ranking.OtherSenders(servers, len(table.Senders()), now)
 }
 
 // startShare is the share of the required services that must have capacity at the start. The few others are expected
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -77,6 +77,7 @@
 	if err := c.admit(ctx, time.Now()); err != nil {
 		return nil, err
 	}
+	lost := c.forwarder.config.Reach.Lost()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !c.isComplete(time.Now()) {
@@ -89,6 +90,11 @@
 			c.reviewCaution(time.Now())
 		case <-timer.C:
 			c.sendHedges(time.Now())
+		case <-lost:
+			lost = nil
+			if err := c.leave(); err != nil {
+				return nil, err
+			}
 		}
 		c.sendPending(time.Now())
 	}
@@ -96,6 +102,19 @@
 	return c.finish(time.Now())
 }
 
+// leave returns a *lostServersError if the call should be passed on, because this instance has lost its servers: no server has
+// answered it, and it may run again or has not run.
+func (c *call) leave() error {
+	if c.answered.Load() || c.request.Passed || c.forwarder.config.Passer == nil {
+		return nil
+	}
+	notRun := c.withdrawUnsent()
+	if !notRun && !c.route.Idempotent {
+		return nil
+	}
+	return &lostServersError{mayHaveRun: !notRun}
+}
+
 // requiredAnswers returns the minimum number of answered subrequests for a successful reply.
 func (c *call) requiredAnswers() int {
 	if !c.route.Sharded() {
@@ -117,6 +136,7 @@
 	now := time.Now()
 	crashed := false
 	observation.Finish(outcome(request.SendContext, answer, err), now)
+	c.forwarder.config.Reach.End(request.Server, reachOutcome(err), now)
 	switch {
 	case err == nil:
 		c.answered.Store(true)
@@ -155,11 +175,10 @@
 // outcome classifies the result of an attempt for the ranking.
 func outcome(sendCtx context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
-	var unsent *UnsentError
 	switch {
 	case errors.As(err, &notRun) && notRun.Misdirected:
 		return pollenrank.Misdirected
-	case errors.As(err, &unsent) && unsent.Refused:
+	case isRefused(err):
 		return pollenrank.Refused
 	case errors.As(err, &notRun):
 		return pollenrank.Shed
@@ -206,6 +225,9 @@
 	case errors.As(r.err, &notRun), errors.As(r.err, &unsent):
 		s.attempts[r.attempt].notRun = true
 		c.stats.Refusals++
+		if unsent != nil && unsent.Unconnected {
+			c.stats.Unconnected++
+		}
 	default:
 		s.possibleRuns++
 		c.mayHaveRun = true
@@ -313,7 +335,7 @@
 	case harmful != nil:
 		return nil, harmful
 	case c.withdrawUnsent():
-		return nil, &RefusedError{Cause: "no server took the request", RetryAfter: RetryAfterOverload(c.schedule.End.Sub(now), rand.Float64())}
+		return nil, &RefusedError{Cause: "no server took the request", Unreached: c.stats.Unconnected > 0, RetryAfter: RetryAfterOverload(c.schedule.End.Sub(now), rand.Float64())}
 	case !now.Before(c.schedule.End):
 		return nil, &FailedError{Cause: "no answer in time", TimedOut: true}
 	}
--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -40,11 +41,11 @@
 // table, ends by itself.
 func (c *call) detectCrash(request ServerRequest, sentAt time.Time) bool {
 	f := c.forwarder
-	if !f.crashes.refused(request, f.config.Exchanger) {
+	if !f.hasEnded(request) {
 		return false
 	}
 	f.config.Ranking.RecordRefusal(request.Server, time.Now())
-	if c.answered.Load() {
+	if c.answered.Load() || f.config.Reach.CutOff() {
 		return false
 	}
 	expected := !f.config.Table().Accepts(request.Server)
@@ -76,8 +77,9 @@
 	return false
 }
 
-// refused reports whether the server refuses a new connection, by a check that one of the callers makes for all.
-func (d *crashDetector) refused(request ServerRequest, exchanger Exchanger) bool {
+// hasEnded reports whether the server refuses a new connection, by a check that one of the callers makes for all.
+func (f *Forwarder) hasEnded(request ServerRequest) bool {
+	d := &f.crashes
 	key := request.Server.Incarnation()
 	now := time.Now()
 	d.mu.Lock()
@@ -99,11 +101,17 @@
 	d.checks[key] = check
 	d.mu.Unlock()
 	// The caller's request may end meanwhile, and the check serves other requests too.
-	check.refused = exchanger.RefusesConnections(context.Background(), request.Server, request.ConnectionLimit)
+	check.refused = isRefused(f.config.Exchanger.Connect(context.Background(), request.Server, request.ConnectionLimit))
 	close(check.done)
 	return check.refused
 }
 
+// isRefused reports whether a server refused a connection.
+func isRefused(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent) && unsent.Refused
+}
+
 // maxCrashRounds is the number of rounds of attempts under which servers ended after which a call that no server has answered ends.
 const maxCrashRounds = 2
 
--- a/pollen/pollenforward/crash_test.go
+++ b/pollen/pollenforward/crash_test.go
@@ -63,11 +63,14 @@
 
 func (e *crashingExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
-func (e *crashingExchanger) RefusesConnections(_ context.Context, server *pollencatalog.Server, _ int) bool {
+func (e *crashingExchanger) Connect(_ context.Context, server *pollencatalog.Server, _ int) error {
 	time.Sleep(4 * time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Now().Before(e.downTil[server.ID])
+	if time.Now().Before(e.downTil[server.ID]) {
+		return &UnsentError{Server: server.ID, Unconnected: true, Refused: true, Err: errors.New("connection refused")}
+	}
+	return nil
 }
 
 // end ends a server: all connections to it break.
@@ -91,7 +94,7 @@
 	defer e.mu.Unlock()
 	id, content := request.Server.ID, request.Request.Content
 	if time.Now().Before(e.downTil[id]) {
-		return nil, &UnsentError{Server: id, Refused: true, Err: errors.New("connection refused")}
+		return nil, &UnsentError{Server: id, Unconnected: true, Refused: true, Err: errors.New("connection refused")}
 	}
 	if e.deadly[content] {
 		if e.deadlySends[content] == nil {
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -10,6 +10,7 @@
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenreach"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -22,6 +23,13 @@
 	Quotas      *pollenquota.Quotas
 	// Suspects decides which requests are held back because servers end under them; if it is nil, the Forwarder has its own.
 	Suspects *pollensuspect.Registry
+	// Reach tells whether this instance reaches the servers; if it is nil, it does.
+	Reach *pollenreach.Tracker
+	// Passer passes requests on to other instances while this one does not reach the servers; if it is nil, none are. Others
+	// returns the instances that may take requests, from which Peers chooses.
+	Passer Passer
+	Others func() []pollencatalog.Instance
+	Peers  *pollenreach.Peers
 	// Table returns the current table.
 	Table func() *pollencatalog.Table
 	// CallerRoundTrip is the network round-trip time between caller and instance.
@@ -42,6 +50,7 @@
 	// callerRetries detects callers that repeat a refused request.
 	callerRetries callerRetryDetector
 	crashes       crashDetector
+	passing       passState
 }
 
 // New returns a Forwarder whose StaleConnectionPeriod begins now.
@@ -49,6 +58,9 @@
 	if config.Suspects == nil {
 		config.Suspects = pollensuspect.New(pollensuspect.Config{})
 	}
+	if config.Reach == nil {
+		config.Reach = pollenreach.NewTracker()
+	}
 	return &Forwarder{config: config, started: time.Now()}
 }
 
@@ -75,7 +87,7 @@
 			Route: route, Received: request.Received, CallerTimeout: request.CallerTimeout,
 			CallerRoundTrip: f.config.CallerRoundTrip, LatencyQuantile: f.config.Ranking.LatencyQuantile(route.Name, 1-hedgeBudgetShare*f.config.Budget.Ratio()),
 		}),
-		callerRetry: f.callerRetries.isRetry(route.Name, request.CallerTimeout, request.Received),
+		callerRetry: !request.Passed && f.callerRetries.isRetry(route.Name, request.CallerTimeout, request.Received),
 		subrequests: make([]subrequest, len(services)),
 		caution:     pollensuspect.Send,
 		results:     make(chan result, len(services)*(route.Attempts+extraSends)),
@@ -83,7 +95,7 @@
 	for i, service := range services {
 		c.subrequests[i].service = service
 	}
-	reply, err := c.run(ctx)
+	reply, err := c.serve(ctx)
 	return reply, c.stats, err
 }
 
@@ -120,12 +132,17 @@
 	QueueTime time.Duration
 	// Refusals counts attempts that no server ran, Failures those that may have run without a usable answer.
 	Refusals, Failures int
+	// Unconnected counts the refusals for want of a connection.
+	Unconnected int
 	// Broken counts the failures whose connection was closed or reset.
 	Broken int
 	// Content identifies requests with the same content.
 	Content pollensuspect.Fingerprint
 	// BudgetDenied counts retries and hedges that the budget did not allow.
 	BudgetDenied int
+	// Passes counts the instances that the request was passed on to, PassedTo is the last of them.
+	Passes   int
+	PassedTo string
 	// LastFailure describes the newest failed attempt.
 	LastFailure string
 	// LastServer is the ID of the server that got the newest request.
--- a/pollen/pollenforward/harness_test.go
+++ b/pollen/pollenforward/harness_test.go
@@ -44,8 +44,8 @@
 
 func (f *fakeExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
-func (f *fakeExchanger) RefusesConnections(context.Context, *pollencatalog.Server, int) bool {
-	return false
+func (f *fakeExchanger) Connect(context.Context, *pollencatalog.Server, int) error {
+	return nil
 }
 
 func (f *fakeExchanger) Exchange(ctx context.Context, request ServerRequest) (*Answer, error) {
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -29,6 +29,8 @@
 	CallerTimeout time.Duration
 	// Content identifies requests with the same content from the same caller.
 	Content pollensuspect.Fingerprint
+	// Passed is set if another instance has passed the request on. Received is then when that one read the header.
+	Passed bool
 	// Memory counts the bodies that are held for the request; the servers' answers are read on it.
 	Memory *pollenmemory.Account
 }
@@ -94,8 +96,8 @@
 	// ConnectionAvailable reports whether a request could be sent without waiting for another one to release its
 	// connection.
 	ConnectionAvailable(server *pollencatalog.Server, connectionLimit int) bool
-	// RefusesConnections reports whether the server refuses a new connection, as it does once its process has ended.
-	RefusesConnections(ctx context.Context, server *pollencatalog.Server, connectionLimit int) bool
+	// Connect opens a connection to the server for later requests, or returns an *UnsentError.
+	Connect(ctx context.Context, server *pollencatalog.Server, connectionLimit int) error
 }
 
 // Reply holds the response to a caller.
@@ -110,9 +112,9 @@
 // UnsentError reports a request of which no byte was sent.
 type UnsentError struct {
 	Server string
-	// Refused is set if the server refused the connection.
-	Refused bool
-	Err     error
+	// Unconnected is set if no connection could be made, Refused if that is because the server refused it.
+	Unconnected, Refused bool
+	Err                  error
 }
 
 func (e *UnsentError) Error() string {
@@ -152,6 +154,8 @@
 // RefusedError reports a request that has not run and will not run.
 type RefusedError struct {
 	Cause string
+	// Unreached is set if this instance reaches too few servers; another one may reach them.
+	Unreached bool
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter time.Duration
 }
--- a/pollen/pollenforward/overload_test.go
+++ b/pollen/pollenforward/overload_test.go
@@ -58,8 +58,8 @@
 
 func (e queueingExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
-func (e queueingExchanger) RefusesConnections(context.Context, *pollencatalog.Server, int) bool {
-	return false
+func (e queueingExchanger) Connect(context.Context, *pollencatalog.Server, int) error {
+	return nil
 }
 
 func (e queueingExchanger) Exchange(ctx context.Context, request ServerRequest) (*Answer, error) {
--- /dev/null
+++ b/pollen/pollenforward/pass.go
@@ -0,0 +1,147 @@
+package pollenforward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenreach"
+)
+
+// Passer passes requests on to other instances, which send them to servers.
+type Passer interface {
+	// Pass sends a request to an instance and returns its reply, or an *UnsentError, *RefusedError, *FailedError,
+	// *HarmfulRequestError or *NoAnswerError. The instance does not pass it on again.
+	Pass(ctx context.Context, instance pollencatalog.Instance, request *Request, deadline time.Time) (*Reply, error)
+}
+
+const (
+	// maxPasses bounds the instances that one request is passed on to.
+	maxPasses = 3
+	// passPause is how long requests are not passed on after one that the servers of the other instance could not serve
+	// either, unless this instance is cut off.
+	passPause = 500 * time.Millisecond
+)
+
+// passState holds until when requests are not passed on while this instance is not cut off, in Unix nanoseconds.
+type passState struct {
+	pausedUntil atomic.Int64
+}
+
+// lostServersError reports a call that ended because the instance lost its servers, and that may be passed on.
+type lostServersError struct {
+	// mayHaveRun is set if an attempt of the call may run or have run.
+	mayHaveRun bool
+}
+
+func (e *lostServersError) Error() string { return "the instance lost its servers" }
+
+// serve runs the call here, or passes it on if this instance reaches no servers.
+//
+// Load pattern: an instance loses its links to all servers while callers still reach it. Other instances reach them.
+func (c *call) serve(ctx context.Context) (*Reply, error) {
+	f := c.forwarder
+	if f.config.Passer == nil || c.request.Passed {
+		if c.request.Passed && f.config.Reach.CutOff() {
+			return nil, &RefusedError{Cause: "this instance reaches no servers", Unreached: true, RetryAfter: RetryAfterOutage(time.Until(c.schedule.End))}
+		}
+		return c.run(ctx)
+	}
+	if f.config.Reach.CutOff() {
+		if err := c.decideCaution(time.Now()); err != nil {
+			return nil, err
+		}
+		return c.pass(ctx, nil, false)
+	}
+	reply, err := c.run(ctx)
+	var lost *lostServersError
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &lost):
+		return c.pass(ctx, nil, lost.mayHaveRun)
+	case errors.As(err, &refused) && refused.Unreached && time.Now().UnixNano() >= f.passing.pausedUntil.Load():
+		return c.pass(ctx, refused, false)
+	}
+	return reply, err
+}
+
+// pass passes the call on to other instances until one has taken it. If none does, it returns the refusal that led here, if
+// any.
+func (c *call) pass(ctx context.Context, own *RefusedError, mayHaveRun bool) (*Reply, error) {
+	f := c.forwarder
+	ctx, cancel := context.WithDeadline(ctx, c.schedule.CallerDeadline)
+	defer cancel()
+	var tried []string
+	refusal := own
+	for len(tried) < maxPasses && time.Now().Before(c.schedule.End) {
+		instance, ok := f.config.Peers.Choose(f.config.Others(), tried, time.Now())
+		if !ok {
+			break
+		}
+		tried = append(tried, instance.Name)
+		c.stats.Passes, c.stats.PassedTo = len(tried), instance.Name
+		f.config.Peers.Begin(instance.Name)
+		reply, err := f.config.Passer.Pass(ctx, instance, c.request, c.schedule.CallerDeadline)
+		var unsent *UnsentError
+		var refused *RefusedError
+		var noAnswer *NoAnswerError
+		isRefused := errors.As(err, &refused)
+		f.config.Peers.End(instance.Name, errors.As(err, &unsent) || (isRefused && refused.Unreached), time.Now())
+		switch {
+		case ctx.Err() != nil && err != nil:
+			return nil, passEnded(ctx)
+		case unsent != nil:
+			c.stats.LastFailure = err.Error()
+		case isRefused:
+			refusal = refused
+			c.stats.LastFailure = err.Error()
+		case errors.As(err, &noAnswer):
+			c.stats.LastFailure = err.Error()
+			mayHaveRun = true
+			if !c.route.Idempotent {
+				return nil, &FailedError{Cause: fmt.Sprintf("instance %s did not answer", instance.Name)}
+			}
+		default:
+			return reply, err
+		}
+	}
+	if own != nil {
+		f.passing.pausedUntil.Store(time.Now().Add(passPause).UnixNano())
+	}
+	switch {
+	case mayHaveRun:
+		return nil, &FailedError{Cause: fmt.Sprintf("this instance lost its servers, and %d others did not answer", len(tried))}
+	case refusal != nil:
+		return nil, &RefusedError{Cause: refusal.Cause, Unreached: refusal.Unreached, RetryAfter: refusal.RetryAfter}
+	}
+	timeLeft := time.Until(c.schedule.End)
+	return nil, &RefusedError{
+		Cause:      fmt.Sprintf("this instance reaches no servers, and none of %d others took the request", len(tried)),
+		RetryAfter: RetryAfterOverload(timeLeft, rand.Float64()),
+	}
+}
+
+// passEnded returns the error of a request that ended while another instance had it.
+func passEnded(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &FailedError{Cause: "no answer of another instance in time", TimedOut: true}
+	}
+	return &CallerDisconnectedError{}
+}
+
+// reachOutcome returns what the result of an attempt says about the way to its server.
+func reachOutcome(err error) pollenreach.Outcome {
+	var notRun *NotRunError
+	var unsent *UnsentError
+	switch {
+	case err == nil, errors.As(err, &notRun):
+		return pollenreach.Answered
+	case isBroken(err), errors.As(err, &unsent) && unsent.Unconnected:
+		return pollenreach.Unreached
+	}
+	return pollenreach.Unknown
+}
--- a/pollen/pollenforward/quota_test.go
+++ b/pollen/pollenforward/quota_test.go
@@ -31,8 +31,8 @@
 
 func (e *limitingExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
-func (e *limitingExchanger) RefusesConnections(context.Context, *pollencatalog.Server, int) bool {
-	return false
+func (e *limitingExchanger) Connect(context.Context, *pollencatalog.Server, int) error {
+	return nil
 }
 
 func (e *limitingExchanger) Exchange(_ context.Context, request ServerRequest) (*Answer, error) {
--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -164,23 +162,24 @@
 	return nil, &LimitError{Address: address, Limit: limit, Err: context.Cause(ctx)}
 }
 
-// Refuses reports whether a server refuses a new connection. If it takes one, the connection is kept idle. No connection is
-// opened at the limit, and none counts as refused then.
-func (p *Pool) Refuses(ctx context.Context, address netip.AddrPort, limit int) bool {
+// Connect opens a connection to a server and keeps it idle. It does not wait if limit connections are open.
+//
+// Its errors are *LimitError and *DialError.
+func (p *Pool) Connect(ctx context.Context, address netip.AddrPort, limit int) error {
 	p.mu.Lock()
 	h := p.host(address)
 	if h.openConns >= limit {
 		p.mu.Unlock()
-		return false
+		return &LimitError{Address: address, Limit: limit}
 	}
 	h.openConns++
 	p.mu.Unlock()
 	conn, err := p.open(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	conn.putUntil(time.Now().Add(p.config.IdleTimeout))
-	return false
+	return nil
 }
 
 // Available reports whether a connection is idle or may be opened now. None may be opened at the limit, nor for
--- a/pollen/pollenpool/pool_test.go
+++ b/pollen/pollenpool/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -136,33 +138,38 @@
 	})
 }
 
-// Only a refused connection says that a server has ended; a connection that is opened to find out must be of use.
-func TestRefusesOnlyEndedServers(t *testing.T) {
+// A connection that is opened to find out whether a server lives must be of use, and count against the limit.
+func TestConnectKeepsConnection(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	tests := []struct {
 		name  string
-		err   error
+		dial  error
 		limit int
-		want  bool
-		idle  int
+		want  error
+		// refused is set if the error says that the server refused the connection.
+		refused bool
+		idle    int
 	}{
-		{"refused", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, 2, true, 0},
-		{"timeout", &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, 2, false, 0},
-		{"accepted", nil, 2, false, 1},
-		{"at the limit", &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, 0, false, 0},
+		{"refused", refused, 2, new(DialError), true, 0},
+		{"timeout", &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, 2, new(DialError), false, 0},
+		{"accepted", nil, 2, nil, false, 1},
+		{"at the limit", refused, 0, new(LimitError), false, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				p := New(Config{DialTimeout: time.Second, IdleTimeout: 5 * time.Second, Dial: func(context.Context, string, string) (net.Conn, error) {
-					if test.err != nil {
-						return nil, test.err
+					if test.dial != nil {
+						return nil, test.dial
 					}
 					client, remote := net.Pipe()
 					go func() { _, _ = io.Copy(io.Discard, remote) }()
 					return client, nil
 				}})
-				c.Assert(p.Refuses(t.Context(), server, test.limit), qt.Equals, test.want)
+				err := p.Connect(t.Context(), server, test.limit)
+				c.Assert(fmt.Sprintf("%T", err), qt.Equals, fmt.Sprintf("%T", test.want))
+				c.Assert(errors.Is(err, syscall.ECONNREFUSED), qt.Equals, test.refused)
 				c.Assert(len(p.host(server).idle), qt.Equals, test.idle)
 				c.Assert(p.host(server).openConns, qt.Equals, test.idle)
 				p.Retain(nil)
--- a/pollen/pollenramp/limiter.go
+++ b/pollen/pollenramp/limiter.go
@@ -55,7 +55,7 @@
 	if rate <= 0 {
 		return true
 	}
-	if sender := Sender(table.Instances(), server); sender != "" && sender != l.config.InstanceName {
+	if sender := Sender(table.Senders(), server); sender != "" && sender != l.config.InstanceName {
 		return false
 	}
 	interval := time.Duration(float64(time.Second) / (rate * senderRateShare))
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -206,6 +206,15 @@
 	s.updated = now
 }
 
+// ForgetFailures ends the ejection of all servers, when their failures were those of the instance's own links.
+func (r *Ranking) ForgetFailures() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		s.failureRate, s.consecutiveFailures, s.ejectedUntil = 0, 0, time.Time{}
+	}
+}
+
 // Prune removes the estimates for servers that the table no longer holds.
 func (r *Ranking) Prune(table *pollencatalog.Table) {
 	r.mu.Lock()
--- a/pollen/pollenroster/roster.go
+++ b/pollen/pollenroster/roster.go
@@ -24,14 +24,15 @@
 	wholeCoreDelay = 150 * time.Millisecond
 )
 
-// ShouldRegister reports whether an instance should be registered; the table holds the instances that are registered now.
+// ShouldRegister reports whether an instance should be registered; the table holds the instances that are registered now. Those that
+// reach no servers are replaced, and stay registered themselves.
 func ShouldRegister(self pollencatalog.Instance, table *pollencatalog.Table) bool {
 	preceding, largest := 0, self.Processor
 	zones := map[string]bool{self.Zone: true}
 	for _, i := range table.Instances() {
 		zones[i.Zone] = true
 		largest = max(largest, i.Processor)
-		if i.Zone == self.Zone && i.Name != self.Name && Compare(i, self) < 0 {
+		if i.Zone == self.Zone && i.Name != self.Name && !i.CutOff && Compare(i, self) < 0 {
 			preceding++
 		}
 	}
--- a/pollen/pollenroster/roster_test.go
+++ b/pollen/pollenroster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -123,3 +124,26 @@
 	qt.Assert(t, StartupDelay(small, 1) > RegistrationDelay(large, 0), qt.IsTrue)
 	qt.Assert(t, StartupDelay(unspecified, 1), qt.Equals, time.Duration(0))
 }
+
+// Load pattern: most registered instances of a zone reach no servers. Others must register in their place, and withdraw once they do
+// again.
+func TestCutOffInstancesAreReplaced(t *testing.T) {
+	c := qt.New(t)
+	all := fleet(3, 2, 4)
+	register := func(cutOff bool) []bool {
+		instances := slices.Clone(all)
+		for i := range instances {
+			instances[i].CutOff = cutOff && instances[i].Zone == "zone-1" && instances[i].Processor >= 0.5
+		}
+		table := pollencatalog.NewTable(pollencatalog.TableConfig{Instances: instances})
+		var registered []bool
+		for _, i := range all {
+			if i.Zone == "zone-1" && i.Processor < 0.5 {
+				registered = append(registered, ShouldRegister(i, table))
+			}
+		}
+		return registered
+	}
+	c.Assert(slices.Contains(register(false), true), qt.IsFalse)
+	c.Assert(slices.Contains(register(true), true), qt.IsTrue)
+}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -27,6 +27,7 @@
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenreach"
 	"pollenline.example/pollen/pollenrelay"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollensuspect"
@@ -45,7 +46,13 @@
 	coldLimiter *pollenramp.ColdLimiter
 	quotas      *pollenquota.Quotas
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
-	suspects  *pollensuspect.Registry
+	suspects *pollensuspect.Registry
+	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
+	// and peerPool holds the connections to them.
+	reach     *pollenreach.Tracker
+	peers     *pollenreach.Peers
+	peerPool  *pollenpool.Pool
+	exchanger *pollenplatform.Exchanger
 	sharer    *pollenrelay.Sharer
 	registrar *pollenfollow.Registrar
 	follower  *pollenfollow.Follower
@@ -94,6 +101,15 @@
 	seedTimeout = 500 * time.Millisecond
 	// shareTimeout bounds an exchange of evidence against requests with another instance.
 	shareTimeout = 500 * time.Millisecond
+	// peerIdleTimeout is how long connections over which requests are passed on are kept, peerConnections how many there are to
+	// one instance at most.
+	peerIdleTimeout = 5 * time.Second
+	peerConnections = 64
+	// reviewInterval is how often the instance reviews whether it reaches the servers, probeInterval how often it probes them
+	// while it does not, with probedServers servers each time.
+	reviewInterval = 100 * time.Millisecond
+	probeInterval  = 200 * time.Millisecond
+	probedServers  = 3
 	// collectionMemoryShare is the share of the instance's memory above which the garbage collector runs more often.
 	collectionMemoryShare = 0.8
 	// tickInterval is the resolution of time-dependent state in the view.
@@ -141,6 +157,9 @@
 		memory:       pollenmemory.New(pollenmemory.Config{LimitBytes: settings.bodyBytes()}),
 		configured:   make(chan struct{}),
 		tableChanged: make(chan struct{}, 1),
+		reach:        pollenreach.NewTracker(),
+		peers:        pollenreach.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
 	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects})
@@ -168,12 +187,12 @@
 		Reader: f.source, Seeds: pollenrelay.NewSeeds(pollenrelay.SeedsConfig{Addresses: settings.otherSeeds(), Timeout: seedTimeout, Dial: dialPeer, Suspects: f.suspects}),
 		Post: f.handleStoreMessage, WatchWait: scale(settings.ConfigurationDelay, watchWaitShare), StartupDelay: settings.startupDelay(f.self), BatchDelay: settings.StorePause.Std(),
 	})
-	key, value, err := pollenplatform.EncodeInstance(f.self)
+	key, _, err := pollenplatform.EncodeInstance(f.self)
 	if err != nil {
 		return nil, err
 	}
 	f.registrar = pollenfollow.NewRegistrar(pollenfollow.RegistrarConfig{
-		Writer: store, Key: key, Value: value, LeaseDuration: settings.InstanceLease.Std(), OnInterruption: f.follower.RestartWatch,
+		Writer: store, Key: key, Value: f.registeredValue, LeaseDuration: settings.InstanceLease.Std(), OnInterruption: f.follower.RestartWatch,
 	})
 	f.httpServers = []*http.Server{
 		f.newHTTPServer(settings.CallerAddress, f.newIngress()),
@@ -187,8 +206,13 @@
 }
 
 func (f *Frontend) newIngress() http.Handler {
+	f.exchanger = pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, MaxAnswerBytes: maxAnswerBytes})
 	forwarder := pollenforward.New(pollenforward.Config{
-		Exchanger:             pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, MaxAnswerBytes: maxAnswerBytes}),
+		Exchanger:             f.exchanger,
+		Reach:                 f.reach,
+		Passer:                pollenplatform.NewPasser(pollenplatform.PasserConfig{Pool: f.peerPool, Connections: peerConnections, MaxReplyBytes: maxAnswerBytes}),
+		Others:                f.otherSenders,
+		Peers:                 f.peers,
 		Ranking:               f.ranking,
 		ColdLimiter:           f.coldLimiter,
 		Quotas:                f.quotas,
@@ -228,6 +252,7 @@
 	go func() { serveErrors <- f.relay.Serve(peerListener) }()
 	go f.follower.Run(backgroundCtx)
 	go f.sharer.Run(backgroundCtx)
+	go f.watchReach(backgroundCtx)
 	go f.runTicker(backgroundCtx)
 	go func() {
 		defer close(unregistered)
@@ -325,10 +350,8 @@
 	f.ranking.Prune(table)
 	f.coldLimiter.Prune(table)
 	f.quotas.Prune(table)
-	select {
-	case f.tableChanged <- struct{}{}:
-	default:
-	}
+	f.peers.Prune(table)
+	f.noteTableChanged()
 	if table.Configuration() == nil {
 		return
 	}
@@ -343,15 +366,32 @@
 	f.repairRegistration(table)
 }
 
+// noteTableChanged makes the instance reconsider whether it should be registered.
+func (f *Frontend) noteTableChanged() {
+	select {
+	case f.tableChanged <- struct{}{}:
+	default:
+	}
+}
+
 // ready reports whether new callers may be sent to this instance.
 func (f *Frontend) ready() bool {
 	return !f.draining.Load() && f.view.Table().Configuration() != nil
 }
 
-// callerInstances returns the instances that the directory lists: the ready ones, or only this one if there are none.
+// registeredValue returns the value of this instance's key in the store.
+func (f *Frontend) registeredValue() ([]byte, error) {
+	self := f.self
+	self.CutOff = f.reach.CutOff()
+	_, value, err := pollenplatform.EncodeInstance(self)
+	return value, err
+}
+
+// callerInstances returns the instances that the directory lists: the ready ones that reach the backend servers, or only this one
+// if there are none.
 func (f *Frontend) callerInstances() []pollencatalog.Instance {
 	var ready []pollencatalog.Instance
-	for _, instance := range f.view.Table().Instances() {
+	for _, instance := range f.view.Table().Senders() {
 		if instance.Ready && (instance.Name != f.self.Name || f.ready()) {
 			ready = append(ready, instance)
 		}
@@ -364,7 +404,16 @@
 
 // otherInstances returns the registered instances other than this one.
 func (f *Frontend) otherInstances() []pollencatalog.Instance {
-	return slices.DeleteFunc(slices.Clone(f.view.Table().Instances()), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
+	return f.withoutSelf(f.view.Table().Instances())
+}
+
+// otherSenders returns the registered instances other than this one that reach the backend servers.
+func (f *Frontend) otherSenders() []pollencatalog.Instance {
+	return f.withoutSelf(f.view.Table().Senders())
+}
+
+func (f *Frontend) withoutSelf(instances []pollencatalog.Instance) []pollencatalog.Instance {
+	return slices.DeleteFunc(slices.Clone(instances), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
 }
 
 func (f *Frontend) runTicker(ctx context.Context) {
@@ -377,6 +426,7 @@
 		case <-ticker.C:
 			f.actor.Post(pollenview.Tick{})
 			f.pool.Trim()
+			f.peerPool.Trim()
 		}
 	}
 }
--- a/pollenentry/pollenfront/registration.go
+++ b/pollenentry/pollenfront/registration.go
@@ -22,7 +22,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if pollenroster.ShouldRegister(f.self, f.view.Table()) && f.waitRegistrationDelay(ctx) {
+		if f.shouldRegister() && f.waitRegistrationDelay(ctx) {
 			f.registerUntilReplaced(ctx)
 			continue
 		}
@@ -42,7 +42,12 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return ctx.Err() == nil && pollenroster.ShouldRegister(f.self, f.view.Table())
+	return ctx.Err() == nil && f.shouldRegister()
+}
+
+// shouldRegister reports whether this instance, which is not registered, should be. One that reaches no servers replaces no other.
+func (f *Frontend) shouldRegister() bool {
+	return !f.reach.CutOff() && pollenroster.ShouldRegister(f.self, f.view.Table())
 }
 
 // registerUntilReplaced keeps the instance registered until other instances replace it or ctx is done.
