--- a/pollenbench/pollensoak/check.go
+++ b/pollenbench/pollensoak/check.go
@@ -42,6 +42,7 @@
 	{"Draining", "a draining server receives no requests after the drain bound", checkDraining},
 	{"Evacuated", "servers of an evacuated zone receive no requests after the evacuation bound", checkEvacuated},
 	{"StatedLimit", "a server that states how many requests per second it takes gets no more, within the tolerance", checkStatedLimit},
+	{"DeadlyContained", "a request that has ended three servers reaches servers three times more at most, soon after the third", checkDeadlyContained},
 	{"InForce", "a configuration version is applied within its bound, and no older version is used afterwards", checkInForce},
 	{"NothingCut", "planned operations interrupt no request in flight", checkNothingCut},
 	{"StopsInTime", "an instance exits without an error within its stop timeout", checkStopsInTime},
@@ -280,6 +281,39 @@
 	}
 }
 
+// deadlyEndsBeforeBound is the number of servers that must have ended under a request before further ones count.
+const deadlyEndsBeforeBound = 3
+
+func checkDeadlyContained(r *record, report func(string, string, ...any)) {
+	for caller, ends := range r.deadlyEnds {
+		if len(ends) < deadlyEndsBeforeBound {
+			continue
+		}
+		slices.SortFunc(ends, time.Time.Compare)
+		from, late := ends[deadlyEndsBeforeBound-1].Add(r.bounds.Reconnect), 0
+		for _, o := range r.outcomes {
+			runs := r.runs[o.Request.ID]
+			if o.Request.Caller != caller || len(runs) == 0 || runs[0].StartedAt.Before(from) || r.restartedLately(r.instanceNumber(o), runs[0].StartedAt) {
+				continue
+			}
+			late++
+		}
+		if late > r.bounds.MaxDeadlyRequests {
+			report("", "%d requests of %s reached servers more than %v after the third server had ended; %d ended", late, caller, r.bounds.Reconnect, len(ends))
+		}
+	}
+}
+
+// restartedLately reports whether an instance was killed, stopped or suspended during the Reconnect bound before at.
+func (r *record) restartedLately(instance int, at time.Time) bool {
+	for _, d := range r.disturbances {
+		if d.instance == instance && d.effect&disturbsStore != 0 && d.effect&disturbsPace != 0 && d.begin.Before(at) && (d.end.IsZero() || d.end.After(at.Add(-r.bounds.Reconnect))) {
+			return true
+		}
+	}
+	return false
+}
+
 // pacedArrivals returns when requests reached a limited server since its limit must be kept, in order. Requests of instances
 // that have just restarted or been suspended, or that a link may have held up, are left out.
 func (r *record) pacedArrivals(l statedLimit) []time.Time {
--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +34,7 @@
 	readyPollInterval  = 50 * time.Millisecond
 	readyTimeout       = 20 * time.Second
 	restartDelay       = 300 * time.Millisecond
+	serverRestartDelay = 1500 * time.Millisecond
 	// leaveDelay is how long a drained server keeps serving after the drain bound.
 	leaveDelay = time.Second
 )
@@ -84,6 +87,8 @@
 	// deployMu orders the configuration versions; reshardMu, evacuateMu and restoreMu serialise resharding, evacuation and restores
 	// of the store.
 	deployMu, reshardMu, evacuateMu, restoreMu sync.Mutex
+	// deadlyCaller is the name of a caller whose requests end servers, nil if there is none.
+	deadlyCaller atomic.Pointer[string]
 }
 
 func newCluster(program, directory string, seed uint64, instances int) (*cluster, error) {
@@ -234,7 +239,7 @@
 	c.mu.Unlock()
 	server, err := pollenfakeplatform.StartServer(pollenfakeplatform.ServerConfig{
 		ID: id, Service: service, Zone: zone, Slots: serverSlots, QueueLength: serverQueue, MeanWork: serverWorkTime, AnswerRecords: records,
-		Store: c.store, Ledger: c.ledger, HeartbeatInterval: serverHeartbeat,
+		Store: c.store, Ledger: c.ledger, HeartbeatInterval: serverHeartbeat, OnDeadly: c.endServer,
 	})
 	if err != nil {
 		return err
@@ -250,6 +255,29 @@
 	return nil
 }
 
+// endServer ends a server under a request of a deadly caller, and starts another one in its place after serverRestartDelay.
+func (c *cluster) endServer(server *pollenfakeplatform.Server, caller string) {
+	c.mu.Lock()
+	n := slices.IndexFunc(c.backends, func(b *backend) bool { return b.server == server })
+	if n < 0 {
+		c.mu.Unlock()
+		return
+	}
+	ended := c.backends[n]
+	c.backends = slices.Delete(c.backends, n, n+1)
+	c.mu.Unlock()
+	end := c.record.beginDisturbance(allInstances, disturbsRequests)
+	c.record.addDeadlyEnd(caller)
+	ended.proxy.close()
+	server.Kill()
+	time.AfterFunc(serverRestartDelay, func() {
+		defer end()
+		if err := c.addServer(server.Service(), server.Zone()); err != nil {
+			fmt.Fprintf(os.Stderr, "server in place of %s: %v\n", server.ID(), err)
+		}
+	})
+}
+
 // removeRandomServer removes a random server from the list and returns it.
 func (c *cluster) removeRandomServer(random *rand.Rand) *backend {
 	c.mu.Lock()
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -52,6 +52,7 @@
 	{"evacuate", "a zone is evacuated and returned to service", injectEvacuation},
 	{"servers-limited", "some servers state how many requests per second they take", injectLimit},
 	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
+	{"requests-deadly", "the requests of one caller end each server that begins to run them", injectDeadlyRequests},
 }
 
 func (c *cluster) randomInstance(random *rand.Rand) *entryInstance {
@@ -236,6 +237,20 @@
 	return nil
 }
 
+// observedFaultDuration is the duration of faults whose promise is checked from Reconnect after their begin.
+const observedFaultDuration = 9 * time.Second
+
+// injectDeadlyRequests lets callers send requests that end servers, for observedFaultDuration, unless they do already.
+func injectDeadlyRequests(_ context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
+	name := fmt.Sprintf("%s%x", pollenfakeplatform.DeadlyPrefix, random.Uint64())
+	if !c.deadlyCaller.CompareAndSwap(nil, &name) {
+		return nil
+	}
+	time.Sleep(observedFaultDuration)
+	c.deadlyCaller.Store(nil)
+	return nil
+}
+
 // serverLinkFault returns an inject function that disturbs the links to a quarter of the servers.
 func serverLinkFault(disturb func(*proxy)) func(context.Context, *cluster, *rand.Rand, time.Duration) error {
 	return func(_ context.Context, c *cluster, random *rand.Rand, duration time.Duration) error {
--- a/pollenbench/pollensoak/record.go
+++ b/pollenbench/pollensoak/record.go
@@ -27,6 +27,9 @@
 	// LimitFactor times what the limit allows, and LimitSlack requests more.
 	LimitNotice, LimitPeriod time.Duration
 	LimitFactor, LimitSlack  float64
+	// MaxDeadlyRequests is the number of requests of a deadly caller that may reach servers later than Reconnect after the third
+	// server has ended.
+	MaxDeadlyRequests int
 	// DeadlineSlack is by how much the timeout passed to a server may exceed the caller's remaining time.
 	DeadlineSlack time.Duration
 }
@@ -36,6 +39,7 @@
 	Reconnect: 4 * time.Second, Apply: 3 * time.Second, Drain: 3 * time.Second, Evacuate: 5 * time.Second, StopTimeout: 6 * time.Second,
 	CloseRace: 200 * time.Millisecond, Recovery: 12 * time.Second, MinRecoveredShare: 0.25, DeadlineSlack: 500 * time.Millisecond,
 	LimitNotice: 4 * time.Second, LimitPeriod: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
+	MaxDeadlyRequests: 3,
 }
 
 // allInstances is the instance number of disturbances that affect all instances.
@@ -94,6 +98,8 @@
 	evacuations  []*change
 	limits       []statedLimit
 	disturbances []*disturbance
+	// deadlyEnds holds when servers ended under the requests of a deadly caller, by its name.
+	deadlyEnds map[string][]time.Time
 	// instanceByAddress maps the address that callers use to the instance's number.
 	instanceByAddress map[string]int
 	// stopFailures describes the graceful stops that failed or timed out.
@@ -121,6 +127,16 @@
 	}
 }
 
+// addDeadlyEnd records that a server ended under a request of a deadly caller.
+func (r *record) addDeadlyEnd(caller string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.deadlyEnds == nil {
+		r.deadlyEnds = make(map[string][]time.Time)
+	}
+	r.deadlyEnds[caller] = append(r.deadlyEnds[caller], time.Now())
+}
+
 // addStopFailure records a graceful stop that failed or timed out.
 func (r *record) addStopFailure(name string, err error) {
 	r.mu.Lock()
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -70,6 +70,8 @@
 	// meanCallerInterval is the mean pause of one caller between requests.
 	meanCallerInterval = 60 * time.Millisecond
 	callerTimeout      = 2 * time.Second
+	// deadlyShare is the share of requests that come from a deadly caller while there is one.
+	deadlyShare = 0.03
 	// inFlightDrain is the time in which servers complete what is in flight after the last request.
 	inFlightDrain = 500 * time.Millisecond
 )
@@ -196,6 +198,9 @@
 		if request.Path == pathOnce {
 			request.Method, request.Body = http.MethodPost, "reserve "+request.ID
 		}
+		if deadly := c.deadlyCaller.Load(); deadly != nil && random.Float64() < deadlyShare {
+			request.Path, request.Method, request.Body, request.Caller = pathQuery, http.MethodGet, "", *deadly
+		}
 		outcome := caller.Send(ctx, request)
 		c.record.addOutcome(outcome)
 		wait := max(outcome.RetryAfter, time.Duration(random.ExpFloat64()*float64(meanCallerInterval)))
