Count the attempts of a request across the instances that had it

A request now says how many servers may have run it, is passed on only if attempts are left, and the other instance uses no more than those. After an instance that did not answer it goes to no other.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -108,11 +108,17 @@
 	if c.answered.Load() || c.request.Passed || c.forwarder.config.Passer == nil {
 		return nil
 	}
-	notRun := c.withdrawUnsent()
+	notRun, used := c.withdrawUnsent(), 0
 	if !notRun && !c.route.Idempotent {
 		return nil
 	}
-	return &lostServersError{mayHaveRun: !notRun}
+	for i := range c.subrequests {
+		used = max(used, c.subrequests[i].countMayHaveRun())
+	}
+	if used >= c.route.Attempts {
+		return nil
+	}
+	return &lostServersError{mayHaveRun: !notRun, attemptsUsed: used}
 }
 
 // requiredAnswers returns the minimum number of answered subrequests for a successful reply.
@@ -356,8 +362,12 @@
 func (c *call) withdrawUnsent() bool {
 	withdrawn := !c.mayHaveRun
 	for i := range c.subrequests {
-		for _, a := range c.subrequests[i].attempts {
-			if !a.ended && !a.guard.Withdraw() {
+		for j, a := range c.subrequests[i].attempts {
+			switch {
+			case a.ended:
+			case a.guard.Withdraw():
+				c.subrequests[i].attempts[j].notRun = true
+			default:
 				withdrawn = false
 			}
 		}
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -31,6 +31,8 @@
 	Content pollensuspect.Fingerprint
 	// Passed is set if another instance has passed the request on. Received is then when that one read the header.
 	Passed bool
+	// AttemptsUsed is the number of servers of one service that may have run the request for the instance that has passed it on.
+	AttemptsUsed int
 	// Memory counts the bodies that are held for the request; the servers' answers are read on it.
 	Memory *pollenmemory.Account
 }
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -36,6 +36,8 @@
 type lostServersError struct {
 	// mayHaveRun is set if an attempt of the call may run or have run.
 	mayHaveRun bool
+	// attemptsUsed is the number of servers of one service that may run or have run it.
+	attemptsUsed int
 }
 
 func (e *lostServersError) Error() string { return "the instance lost its servers" }
@@ -62,6 +64,7 @@
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &lost):
+		c.request.AttemptsUsed = lost.attemptsUsed
 		return c.pass(ctx, nil, lost.mayHaveRun)
 	case errors.As(err, &refused) && refused.Unreached && time.Now().UnixNano() >= f.passing.pausedUntil.Load():
 		return c.pass(ctx, refused, false)
@@ -101,10 +104,8 @@
 			c.stats.LastFailure = err.Error()
 		case errors.As(err, &noAnswer):
 			c.stats.LastFailure = err.Error()
-			mayHaveRun = true
-			if !c.route.Idempotent {
-				return nil, &FailedError{Cause: fmt.Sprintf("instance %s did not answer", instance.Name)}
-			}
+			// The other instance may have used all attempts that are left.
+			return nil, &FailedError{Cause: fmt.Sprintf("instance %s did not answer", instance.Name)}
 		default:
 			return reply, err
 		}
--- a/pollen/pollenforward/pass_test.go
+++ b/pollen/pollenforward/pass_test.go
@@ -339,8 +339,8 @@
 		{name: "refused by all", results: []error{refused, refused, refused}, want: refused, asked: 3},
 		{name: "no more than three", results: []error{unsent, unsent, unsent, nil}, want: refused, asked: 3},
 		{name: "failed there", results: []error{failed}, want: failed, asked: 1},
-		{name: "no answer, idempotent", idempotent: true, results: []error{noAnswer, nil}, asked: 2},
-		{name: "no answer, then refused", idempotent: true, results: []error{noAnswer, refused, refused}, want: failed, asked: 3},
+		// The instance that did not answer may have used all attempts.
+		{name: "no answer, idempotent", idempotent: true, results: []error{noAnswer, nil}, want: failed, asked: 1},
 		{name: "no answer, not idempotent", results: []error{noAnswer, nil}, want: failed, asked: 1},
 		{name: "passed on already", passed: true, want: cutOffToo},
 		{name: "caller leaves", results: []error{context.Canceled, nil}, want: &CallerDisconnectedError{}, asked: 1},
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -100,7 +100,7 @@
 			tried = append(tried, server)
 		}
 	}
-	if s.countMayHaveRun() >= c.route.Attempts {
+	if s.countMayHaveRun() >= c.maxAttempts() {
 		// An untried server would exceed the number of servers that may run the request.
 		untried = nil
 		tried = slices.DeleteFunc(tried, func(server *pollencatalog.Server) bool { return !s.mayHaveRun(server) })
@@ -189,6 +189,9 @@
 	return count
 }
 
+// maxAttempts returns the number of servers of each service that may run the call here.
+func (c *call) maxAttempts() int { return max(c.route.Attempts-c.request.AttemptsUsed, 1) }
+
 // retryDecision states whether a subrequest may be sent once more.
 type retryDecision int
 
@@ -202,7 +205,7 @@
 // decideRetry decides whether and to which server a subrequest may be sent once more, and charges the budget for
 // retryNow.
 func (c *call) decideRetry(s *subrequest, now time.Time) (*pollencatalog.Server, retryDecision) {
-	if s.sends >= c.route.Attempts+extraSends || !now.Before(c.schedule.End) {
+	if s.sends >= c.maxAttempts()+extraSends || !now.Before(c.schedule.End) {
 		return nil, retryNever
 	}
 	if !c.route.Idempotent && s.possibleRuns > 0 {
