Take more probes before direct sending after a relapse

A network device that takes connections for servers that it can't reach makes each probe succeed, so that an instance sent directly again every 0.8 s, and failed for 0.4 s each time. Each relapse within 5 s doubles the rounds of probes, up to 32. TestRelapsesTakeMoreProbes.

--- a/pollen/pollenreach/reach_test.go
+++ b/pollen/pollenreach/reach_test.go
@@ -177,6 +177,26 @@
 	c.Assert(drive(tracker, table, servers, start.Add(20*time.Second), 4*time.Second, func(*pollencatalog.Server, time.Duration) way { return hangs }) > 0, qt.IsTrue)
 }
 
+// Guards against an instance that sends directly again and again because something takes connections for servers that do not answer.
+func TestRelapsesTakeMoreProbes(t *testing.T) {
+	c := qt.New(t)
+	table, servers := testTable()
+	tracker, now := NewTracker(), start
+	lastRounds := 0
+	for relapse := range 8 {
+		drive(tracker, table, servers, now, 4*time.Second, func(*pollencatalog.Server, time.Duration) way { return hangs })
+		c.Assert(tracker.CutOff(), qt.IsTrue)
+		rounds := 1
+		for now = now.Add(time.Second); !tracker.RecordProbes(3, 3, now); rounds++ {
+		}
+		if relapse > 0 {
+			c.Assert(rounds >= lastRounds && rounds <= successfulProbes<<maxRelapses, qt.IsTrue, qt.Commentf("%d rounds after %d", rounds, lastRounds))
+		}
+		lastRounds = rounds
+	}
+	c.Assert(lastRounds, qt.Equals, successfulProbes<<maxRelapses)
+}
+
 // Load pattern: all but a few instances pass their requests on. The others must share the load by their processor shares, and those
 // that do not take requests must be left out for a time.
 func TestPeersShareTheLoad(t *testing.T) {
--- a/pollen/pollenreach/tracker.go
+++ b/pollen/pollenreach/tracker.go
@@ -37,8 +37,12 @@
 	minLostServices = 2
 	// minLostZones is the number of zones that the servers must belong to, unless all are in one: a zone may be lost by itself.
 	minLostZones = 2
-	// successfulProbes is the number of rounds of probes in a row that must succeed before requests are sent directly again.
+	// successfulProbes is the number of rounds of probes in a row that must succeed before requests are sent directly again. It
+	// doubles, maxRelapses times at most, each time the instance is cut off again within relapseAge: network devices may take
+	// connections for servers that they can't reach.
 	successfulProbes = 2
+	relapseAge       = 5 * time.Second
+	maxRelapses      = 4
 )
 
 // Tracker estimates whether this instance reaches the backend servers.
@@ -49,9 +53,10 @@
 	servers map[pollencatalog.Incarnation]*link
 	// lost is closed when the instance is cut off, and replaced when it no longer is.
 	lost chan struct{}
-	// lostAt is when the instance was cut off last; probes counts the successful rounds of probes since.
-	lostAt time.Time
-	probes int
+	// lostAt is when the instance was cut off last, regainedAt when it no longer was; probes counts the successful rounds of
+	// probes since lostAt, and relapses how often it was cut off soon after it had regained the servers.
+	lostAt, regainedAt time.Time
+	probes, relapses   int
 }
 
 // link is what is known of the way to one server.
@@ -155,6 +160,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lostAt, t.probes = now, 0
+	if now.Sub(t.regainedAt) < relapseAge {
+		t.relapses = min(t.relapses+1, maxRelapses)
+	} else {
+		t.relapses = 0
+	}
 	close(t.lost)
 	klog.InfoS("Servers lost, requests go through other instances", "unreached", reach.Unreached, "reached", reach.Reached, "services", reach.Services, "zones", reach.Zones)
 	return reach
@@ -202,12 +212,13 @@
 		t.probes = 0
 		return false
 	}
-	if t.probes++; t.probes < successfulProbes {
+	if t.probes++; t.probes < successfulProbes<<t.relapses {
 		return false
 	}
 	if _, _, changed := t.machine.Fire(eventRegained); !changed {
 		return false
 	}
+	t.regainedAt = now
 	clear(t.servers)
 	t.lost = make(chan struct{})
 	klog.InfoS("Servers regained", "lostFor", now.Sub(t.lostAt).String())
