Let the soak cut instances off from the servers

Instances connect to servers from an address of their own (SourceAddress), by which the proxies tell them apart.

--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -19,6 +19,8 @@
 	IdleTimeout time.Duration
 	// KeepAlive configures the TCP probes that detect unresponsive connections.
 	KeepAlive net.KeepAliveConfig
+	// SourceAddress is the address that connections are made from; if it is not valid, the system chooses it.
+	SourceAddress netip.Addr
 	// Dial replaces a net.Dialer in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -83,7 +85,11 @@
 func New(config Config) *Pool {
 	dial := config.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}).DialContext
+		dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}
+		if config.SourceAddress.IsValid() {
+			dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.SourceAddress, 0))
+		}
+		dial = dialer.DialContext
 	}
 	return &Pool{
 		config: config,
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -53,6 +53,7 @@
 	{"servers-limited", "some servers state how many requests per second they take", injectLimit},
 	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
 	{"requests-deadly", "the requests of one caller end each server that begins to run them", injectDeadlyRequests},
+	{"instance-cut-off", "an instance's connections to all servers stall, others work", injectCutOff},
 }
 
 func (c *cluster) randomInstance(random *rand.Rand) *entryInstance {
@@ -251,6 +252,54 @@
 	return nil
 }
 
+// injectCutOff cuts an instance off from all servers for observedFaultDuration, unless half of them are cut off.
+func injectCutOff(_ context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
+	e := c.randomInstance(random)
+	if !c.beginCutOff(e) {
+		return nil
+	}
+	defer c.endCutOff(e)
+	from := time.Now()
+	defer c.record.beginDisturbance(e.number, disturbsPace|disturbsLinks)()
+	until := from.Add(observedFaultDuration)
+	for time.Now().Before(until) {
+		// Servers that start meanwhile are cut off, too.
+		c.setCutOff(e, true)
+		time.Sleep(blockedPollInterval)
+	}
+	c.setCutOff(e, false)
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	c.record.cuts = append(c.record.cuts, cut{instance: e.number, from: from, to: time.Now()})
+	return nil
+}
+
+// beginCutOff reports whether an instance may be cut off, and counts it if so.
+func (c *cluster) beginCutOff(e *entryInstance) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cutOff[e.number] || 2*(len(c.cutOff)+1) > len(c.instances) {
+		return false
+	}
+	c.cutOff[e.number] = true
+	return true
+}
+
+func (c *cluster) endCutOff(e *entryInstance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.cutOff, e.number)
+}
+
+// setCutOff sets whether an instance's connections to all servers stall.
+func (c *cluster) setCutOff(e *entryInstance, cutOff bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.backends {
+		b.proxy.setCutOff(e.callerAddress.Addr(), cutOff)
+	}
+}
+
 // serverLinkFault returns an inject function that disturbs the links to a quarter of the servers.
 func serverLinkFault(disturb func(*proxy)) func(context.Context, *cluster, *rand.Rand, time.Duration) error {
 	return func(_ context.Context, c *cluster, random *rand.Rand, duration time.Duration) error {
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -151,7 +151,7 @@
 			PeerAddress: settings.PeerAddress, Processor: settings.ProcessorShare,
 			Incarnation: fmt.Sprintf("%016x", rand.Uint64()),
 		},
-		pool:         pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: defaultServerIdleTimeout, KeepAlive: keepAliveConfig}),
+		pool:         pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: defaultServerIdleTimeout, KeepAlive: keepAliveConfig, SourceAddress: settings.SourceAddress}),
 		ranking:      pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 		coldLimiter:  pollenramp.New(pollenramp.Config{InstanceName: settings.Name}),
 		memory:       pollenmemory.New(pollenmemory.Config{LimitBytes: settings.bodyBytes()}),
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -30,6 +30,8 @@
 	StoreAddress netip.AddrPort
 	// PeerAddress serves calls from other instances.
 	PeerAddress netip.AddrPort
+	// SourceAddress is the address from which connections to backend servers are made; the system chooses it if it is empty.
+	SourceAddress netip.Addr
 	// SeedAddresses are the peer addresses of a few instances that are asked for the store's keys if the store does not
 	// answer at startup.
 	SeedAddresses []netip.AddrPort
