--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -81,15 +81,20 @@
 
 func (e *DialError) Unwrap() error { return e.Err }
 
+// NewDialer returns the dialer of a Pool.
+func NewDialer(config Config) *net.Dialer {
+	dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}
+	if config.SourceAddress.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.SourceAddress, 0))
+	}
+	return dialer
+}
+
 // New returns a Pool without connections.
 func New(config Config) *Pool {
 	dial := config.Dial
 	if dial == nil {
-		dialer := &net.Dialer{Timeout: config.DialTimeout, KeepAliveConfig: config.KeepAlive}
-		if config.SourceAddress.IsValid() {
-			dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.SourceAddress, 0))
-		}
-		dial = dialer.DialContext
+		dial = NewDialer(config).DialContext
 	}
 	return &Pool{
 		config: config,
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -139,8 +139,9 @@
 	return time.Duration(float64(d) * factor)
 }
 
-// keepAliveConfig detects unresponsive connections within two seconds.
-var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+// keepAliveConfig ends idle connections that are unresponsive within three seconds; the kernel counts in whole seconds. It does not
+// end those with data that is not acknowledged: the deadlines of requests do.
+var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // New returns a Frontend that serves once Run is called.
 func New(settings *Settings, logger *slog.Logger) (*Frontend, error) {
