Fail calls at once that have no attempt left when the servers are lost

An idempotent call whose attempts all hang waited for its deadline although no answer can come, and its caller could have tried elsewhere. Pending subrequests are looked for before an order is made for them.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -127,6 +127,9 @@
 
 // sendPending sends the pending subrequests whose servers have capacity now.
 func (c *call) sendPending(now time.Time) {
+	if !c.hasPending() {
+		return
+	}
 	for _, i := range c.sendOrder() {
 		s := &c.subrequests[i]
 		switch {
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -103,7 +103,7 @@
 }
 
 // leave returns a *lostServersError if the call should be passed on, because this instance has lost its servers: no server has
-// answered it, and it may run again or has not run.
+// answered it, and it may run again or has not run. It returns a *FailedError if no attempt is left for another instance.
 func (c *call) leave() error {
 	if c.answered.Load() || c.request.Passed || c.forwarder.config.Passer == nil {
 		return nil
@@ -115,7 +115,12 @@
 	for i := range c.subrequests {
 		used = max(used, c.subrequests[i].countMayHaveRun())
 	}
-	if used >= c.route.Attempts {
+	switch {
+	case used < c.route.Attempts:
+	case c.route.Idempotent:
+		// No answer can come from here, and the caller can try again elsewhere.
+		return &FailedError{Cause: "this instance lost its servers, and all attempts are used"}
+	default:
 		return nil
 	}
 	return &lostServersError{mayHaveRun: !notRun, attemptsUsed: used}
