--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -179,6 +179,9 @@
 
 // isBroken reports whether an attempt ended because its connection was closed or reset.
 func isBroken(err error) bool {
+	if err == nil {
+		return false
+	}
 	var noAnswer *NoAnswerError
 	return errors.As(err, &noAnswer) && noAnswer.Broken
 }
--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -108,6 +108,9 @@
 
 // isRefused reports whether a server refused a connection.
 func isRefused(err error) bool {
+	if err == nil {
+		return false
+	}
 	var unsent *UnsentError
 	return errors.As(err, &unsent) && unsent.Refused
 }
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -136,10 +136,13 @@
 
 // reachOutcome returns what the result of an attempt says about the way to its server.
 func reachOutcome(err error) pollenreach.Outcome {
+	if err == nil {
+		return pollenreach.Answered
+	}
 	var notRun *NotRunError
 	var unsent *UnsentError
 	switch {
-	case err == nil, errors.As(err, &notRun):
+	case errors.As(err, &notRun):
 		return pollenreach.Answered
 	case isBroken(err), errors.As(err, &unsent) && unsent.Unconnected:
 		return pollenreach.Unreached
