Review reach with the existing tick, ask more peers, and alert routes by many servers at once

Instances that are cut off or unreachable count towards eight tries now, not towards the three that may serve a request. - TestDeadlyRequestEndsFewServers/deadly_queries_of_one_route failed in 2 of 13 runs (72 servers ended): the third deadly content came before the second had two rounds, as its second round waits while each service has one server left.

--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -20,8 +20,10 @@
 }
 
 const (
-	// maxPasses bounds the instances that one request is passed on to.
+	// maxPasses bounds the instances that a request is passed on to and that can serve it, maxAsked those that it is passed on to
+	// in all, among them some that can't be reached or are cut off themselves.
 	maxPasses = 3
+	maxAsked  = 8
 	// passPause is how long requests are not passed on after one that the servers of the other instance could not serve
 	// either, unless this instance is cut off.
 	passPause = 500 * time.Millisecond
@@ -72,15 +74,15 @@
 	return reply, err
 }
 
-// pass passes the call on to other instances until one has taken it. If none does, it returns the refusal that led here, if
+// pass passes the call on to other instances, one after another, until one has served it. If none does, it returns the refusal that led here, if
 // any.
 func (c *call) pass(ctx context.Context, own *RefusedError, mayHaveRun bool) (*Reply, error) {
 	f := c.forwarder
 	ctx, cancel := context.WithDeadline(ctx, c.schedule.CallerDeadline)
 	defer cancel()
 	var tried []string
-	refusal := own
-	for len(tried) < maxPasses && time.Now().Before(c.schedule.End) {
+	refusal, passes := own, 0
+	for len(tried) < maxAsked && passes < maxPasses && time.Now().Before(c.schedule.End) {
 		instance, ok := f.config.Peers.Choose(f.config.Others(), tried, time.Now())
 		if !ok {
 			break
@@ -93,7 +95,11 @@
 		var refused *RefusedError
 		var noAnswer *NoAnswerError
 		isRefused := errors.As(err, &refused)
-		f.config.Peers.End(instance.Name, errors.As(err, &unsent) || (isRefused && refused.Unreached), time.Now())
+		unavailable := errors.As(err, &unsent) || (isRefused && refused.Unreached)
+		f.config.Peers.End(instance.Name, unavailable, time.Now())
+		if !unavailable {
+			passes++
+		}
 		switch {
 		case ctx.Err() != nil && err != nil:
 			return nil, passEnded(ctx)
--- a/pollen/pollenforward/pass_test.go
+++ b/pollen/pollenforward/pass_test.go
@@ -337,7 +337,8 @@
 		{name: "served by the second, the first is down", results: []error{unsent, nil}, asked: 2},
 		{name: "served by the third, the others are cut off", results: []error{cutOffToo, cutOffToo, nil}, asked: 3},
 		{name: "refused by all", results: []error{refused, refused, refused}, want: refused, asked: 3},
-		{name: "no more than three", results: []error{unsent, unsent, unsent, nil}, want: refused, asked: 3},
+		{name: "no more than three that could serve it", results: []error{unsent, refused, cutOffToo, refused, refused, nil}, want: refused, asked: 5},
+		{name: "no more than eight", results: []error{unsent, unsent, unsent, unsent, cutOffToo, unsent, unsent, unsent, nil}, want: cutOffToo, asked: 8},
 		{name: "failed there", results: []error{failed}, want: failed, asked: 1},
 		// The instance that did not answer may have used all attempts.
 		{name: "no answer, idempotent", idempotent: true, results: []error{noAnswer, nil}, want: failed, asked: 1},
@@ -354,7 +355,11 @@
 				config := h.forwarder.config
 				config.Passer, config.Peers, config.Reach = passer, pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2))), lostTracker()
 				config.Others = func() []pollencatalog.Instance {
-					return []pollencatalog.Instance{{Name: "entry-2"}, {Name: "entry-3"}, {Name: "entry-4"}, {Name: "entry-5"}}
+					var others []pollencatalog.Instance
+					for i := range 10 {
+						others = append(others, pollencatalog.Instance{Name: fmt.Sprintf("entry-%d", i+2)})
+					}
+					return others
 				}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
--- a/pollen/pollensuspect/registry.go
+++ b/pollen/pollensuspect/registry.go
@@ -25,8 +25,6 @@
 
 	mu      sync.Mutex
 	records map[Fingerprint]*record
-	// alertUntil holds until when requests of a route that no server has answered go to one server first.
-	alertUntil map[string]time.Time
 	// version changes with the evidence.
 	version atomic.Uint64
 	// size is the number of records, read without the mutex.
@@ -71,12 +69,12 @@
 	// verdictRounds is the number of rounds without an answer in between after which a request is refused. A harmless
 	// request needs bad luck as often in a row.
 	verdictRounds = 3
-	// While alertContents different requests of a route, each with at least alertRounds rounds, have ended servers within
-	// alertMemory, the others of the route go to one server first, until alertDuration after the last round. That costs each
-	// of them the time of one more answer, too much for a single request that will be refused soon.
+	// While alertContents different requests of a route have ended servers, each in alertRounds rounds or alertServers servers at
+	// once, the last time within alertDuration, the others of the route go to one server first. That costs each of them the time
+	// of one more answer, too much for a single request that will be refused soon.
 	alertContents = 2
 	alertRounds   = 2
-	alertMemory   = time.Minute
+	alertServers  = 10
 	alertDuration = 10 * time.Second
 	// firstVerdictDuration is how long the first verdict holds. The duration doubles each time up to longestVerdict, so
 	// that a wrong one heals soon and a right one costs few servers.
@@ -100,7 +98,7 @@
 // New returns a Registry without evidence.
 func New(config Config) *Registry {
 	r := &Registry{
-		config: config, records: make(map[Fingerprint]*record), alertUntil: make(map[string]time.Time), changed: make(chan struct{}, 1),
+		config: config, records: make(map[Fingerprint]*record), changed: make(chan struct{}, 1),
 		sharedMore: make(chan struct{}),
 	}
 	// Two incarnations of an instance must not use the same versions.
@@ -149,7 +147,7 @@
 		return Refuse, rec.verdict(content)
 	case ok && len(rec.rounds) > 0:
 		return SendSuspect, Verdict{}
-	case now.Before(r.alertUntil[route]):
+	case r.alerted(route, now):
 		return SendCanary, Verdict{}
 	}
 	return Send, Verdict{}
@@ -316,12 +314,9 @@
 	return verdicts
 }
 
-// judge begins a verdict if the evidence suffices, and alerts the route. The caller must hold the mutex.
+// judge begins a verdict if the evidence suffices. The caller must hold the mutex.
 func (r *Registry) judge(content Fingerprint, rec *record, now time.Time) {
 	last := rec.rounds[len(rec.rounds)-1]
-	if r.countRecentSuspects(rec.route, now) >= alertContents {
-		r.alertUntil[rec.route] = later(r.alertUntil[rec.route], last.endedAt.Add(alertDuration))
-	}
 	if rec.countRounds() < verdictRounds || !last.endedAt.After(rec.refusedUntil) {
 		return
 	}
@@ -334,15 +329,24 @@
 	}
 }
 
-// countRecentSuspects returns the number of contents of a route that count for an alert. The caller must hold the mutex.
-func (r *Registry) countRecentSuspects(route string, now time.Time) int {
+// alerted reports whether requests of a route that no server has answered go to one server first. The caller must hold the mutex.
+func (r *Registry) alerted(route string, now time.Time) bool {
 	count := 0
 	for _, rec := range r.records {
-		if rec.route == route && rec.countRounds() >= alertRounds && now.Sub(rec.rounds[len(rec.rounds)-1].endedAt) < alertMemory {
+		if rec.route == route && rec.alerts(now) {
 			count++
 		}
 	}
-	return count
+	return count >= alertContents
+}
+
+// alerts reports whether the evidence counts for an alert of the route.
+func (rec *record) alerts(now time.Time) bool {
+	n := len(rec.rounds)
+	if n == 0 || now.Sub(rec.rounds[n-1].endedAt) >= alertDuration {
+		return false
+	}
+	return rec.countRounds() >= alertRounds || slices.ContainsFunc(rec.rounds, func(r round) bool { return len(r.servers) >= alertServers })
 }
 
 // maxDoublings is how often the duration of a verdict may double before it exceeds longestVerdict.
@@ -367,11 +371,6 @@
 			delete(r.records, content)
 		}
 	}
-	for route, until := range r.alertUntil {
-		if !now.Before(until) {
-			delete(r.alertUntil, route)
-		}
-	}
 	for len(r.records) >= maxRecords {
 		var oldest Fingerprint
 		var oldestUntil time.Time
--- a/pollen/pollensuspect/registry_test.go
+++ b/pollen/pollensuspect/registry_test.go
@@ -90,6 +90,21 @@
 			r.RecordCrash(Fingerprint{2}, "route", "s", time.Now(), time.Now())
 		}, Send},
 		{"two harmful contents of the route", func(r *Registry) { recordOthers(r, "route") }, SendCanary},
+		{"two contents of the route that each ended many servers", func(r *Registry) {
+			for n := range 2 {
+				for i := range alertServers {
+					r.RecordCrash(Fingerprint{byte(n + 2)}, "route", fmt.Sprint(i), time.Now(), time.Now().Add(time.Millisecond))
+				}
+			}
+		}, SendCanary},
+		{"one of them is answered", func(r *Registry) {
+			for n := range 2 {
+				for i := range alertServers {
+					r.RecordCrash(Fingerprint{byte(n + 2)}, "route", fmt.Sprint(i), time.Now(), time.Now().Add(time.Millisecond))
+				}
+			}
+			r.RecordAnswer(Fingerprint{2}, time.Now().Add(time.Second))
+		}, Send},
 		{"two harmful contents of another route", func(r *Registry) { recordOthers(r, "other") }, Send},
 		{"two harmful contents of the route, long ago", func(r *Registry) {
 			recordOthers(r, "route")
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -53,6 +53,8 @@
 	peers     *pollenreach.Peers
 	peerPool  *pollenpool.Pool
 	exchanger *pollenplatform.Exchanger
+	// probing is set during a round of probes.
+	probing   atomic.Bool
 	sharer    *pollenrelay.Sharer
 	registrar *pollenfollow.Registrar
 	follower  *pollenfollow.Follower
@@ -105,14 +107,12 @@
 	// one instance at most.
 	peerIdleTimeout = 5 * time.Second
 	peerConnections = 64
-	// reviewInterval is how often the instance reviews whether it reaches the servers, probeInterval how often it probes them
-	// while it does not, with probedServers servers each time.
-	reviewInterval = 100 * time.Millisecond
-	probeInterval  = 200 * time.Millisecond
-	probedServers  = 3
+	// probedServers is the number of servers that a round of probes tries to connect to.
+	probedServers = 3
 	// collectionMemoryShare is the share of the instance's memory above which the garbage collector runs more often.
 	collectionMemoryShare = 0.8
-	// tickInterval is the resolution of time-dependent state in the view.
+	// tickInterval is the resolution of time-dependent state in the view, and how often the instance reviews whether it reaches
+	// the servers. Each tick costs processor time on an idle instance, too.
 	tickInterval = 250 * time.Millisecond
 )
 
@@ -253,7 +253,6 @@
 	go func() { serveErrors <- f.relay.Serve(peerListener) }()
 	go f.follower.Run(backgroundCtx)
 	go f.sharer.Run(backgroundCtx)
-	go f.watchReach(backgroundCtx)
 	go f.runTicker(backgroundCtx)
 	go func() {
 		defer close(unregistered)
@@ -428,6 +427,7 @@
 			f.actor.Post(pollenview.Tick{})
 			f.pool.Trim()
 			f.peerPool.Trim()
+			f.reviewReach(ctx)
 		}
 	}
 }
--- a/pollenentry/pollenfront/reach.go
+++ b/pollenentry/pollenfront/reach.go
@@ -10,35 +10,28 @@
 	"pollenline.example/pollen/pollencatalog"
 )
 
-// watchReach reviews whether the instance reaches the servers, and probes them while it does not, until ctx is done.
-func (f *Frontend) watchReach(ctx context.Context) {
-	ticker := time.NewTicker(reviewInterval)
-	defer ticker.Stop()
-	var lastProbes time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		if !f.reach.CutOff() {
-			f.reach.Review(f.view.Table(), now)
-			if f.reach.CutOff() {
-				f.registrar.Rewrite()
-			}
-			continue
-		}
-		if now.Sub(lastProbes) < probeInterval {
-			continue
-		}
-		lastProbes = now
-		connected, tried := f.probeServers(ctx)
-		if f.reach.RecordProbes(connected, tried, time.Now()) {
-			f.ranking.ForgetFailures()
-			f.registrar.Rewrite()
-			f.noteTableChanged()
+// reviewReach reviews whether the instance reaches the servers, and probes them while it does not. It does not wait for the probes.
+func (f *Frontend) reviewReach(ctx context.Context) {
+	if f.reach.CutOff() {
+		if f.probing.CompareAndSwap(false, true) {
+			go f.probe(ctx)
 		}
+		return
+	}
+	f.reach.Review(f.view.Table(), time.Now())
+	if f.reach.CutOff() {
+		f.registrar.Rewrite()
+	}
+}
+
+// probe makes one round of probes, and resumes direct sending if the servers are regained.
+func (f *Frontend) probe(ctx context.Context) {
+	defer f.probing.Store(false)
+	connected, tried := f.probeServers(ctx)
+	if f.reach.RecordProbes(connected, tried, time.Now()) {
+		f.ranking.ForgetFailures()
+		f.registrar.Rewrite()
+		f.noteTableChanged()
 	}
 }
 
