--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -48,7 +48,7 @@
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
-	// and peerPool holds the connections to them.
+	// and peerPool holds the connections to them. exchanger sends requests and probes to servers.
 	reach     *pollenreach.Tracker
 	peers     *pollenreach.Peers
 	peerPool  *pollenpool.Pool
