--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -38,6 +38,9 @@
 	covered int
 	// hedged is set once HedgeAt was reached and hedges were tried, even if none was sent.
 	hedged bool
+	// endedServers holds the IDs of the servers that ended under the call's content lately, as of endedServersAt.
+	endedServers   map[string]bool
+	endedServersAt time.Time
 	// hedgeDelay is the time from the start of attempts to their hedges.
 	hedgeDelay time.Duration
 	// hedgesHeld is set if hedges wait for the call's first answer.
--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -199,9 +199,10 @@
 	if len(servers) < 2 {
 		return false
 	}
-	servers = slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool {
-		return c.forwarder.config.Suspects.EndedLately(c.request.Content, server.ID, now)
-	})
+	if now.Sub(c.endedServersAt) >= pendingRetryInterval {
+		c.endedServers, c.endedServersAt = c.forwarder.config.Suspects.EndedLately(c.request.Content, now), now
+	}
+	servers = slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool { return c.endedServers[server.ID] })
 	return c.forwarder.config.Ranking.CountAvailable(servers, now) < 2
 }
 
--- a/pollen/pollensuspect/registry.go
+++ b/pollen/pollensuspect/registry.go
@@ -153,14 +153,24 @@
 	return Send, Verdict{}
 }
 
-// EndedLately reports whether a server is among those that ended under a content lately, at any instance.
-func (r *Registry) EndedLately(content Fingerprint, server string, now time.Time) bool {
+// EndedLately returns the IDs of the servers that ended under a content lately, at any instance.
+func (r *Registry) EndedLately(content Fingerprint, now time.Time) map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	ended := make(map[string]bool)
 	rec, ok := r.records[content]
-	return ok && slices.ContainsFunc(rec.rounds, func(own round) bool {
-		return now.Sub(own.endedAt) < endedMemory && slices.Contains(own.servers, server)
-	})
+	if !ok {
+		return ended
+	}
+	for _, own := range rec.rounds {
+		if now.Sub(own.endedAt) >= endedMemory {
+			continue
+		}
+		for _, id := range own.servers {
+			ended[id] = true
+		}
+	}
+	return ended
 }
 
 // RecordCrash records that a server ended under a request that was sent to it at a time.
