--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -13,6 +13,19 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Teams lists the teams whose requests are served; if it is empty, requests need no key.
+	Teams []*Team
+}
+
+// Team is a group of callers with common keys.
+type Team struct {
+	Name string
+	// Priority orders teams by urgency; 0 is the most urgent. It goes before the priority of the route.
+	Priority int
+	// PerSecond and Burst are the rate and the capacity of the token bucket that limits the team's requests to all instances
+	// together; the team has no limit if PerSecond is zero.
+	PerSecond float64
+	Burst     float64
 }
 
 // Route defines how requests under one host and path prefix are served.
@@ -39,6 +52,8 @@
 	Attempts int
 	// Priority orders routes by urgency; 0 is the most urgent.
 	Priority int
+	// Public is set if requests need no key even though the configuration has teams.
+	Public bool
 }
 
 // Sharded reports whether answers are merged from several services.
@@ -76,6 +91,8 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
+	// Version is the version of the server's software; empty if the server does not state it.
+	Version string
 	// Slots is the number of requests that the server runs at once.
 	Slots int
 	// Draining is set once the server has announced its shutdown.
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -27,6 +27,8 @@
 	Received time.Time
 	// CallerTimeout is how long the caller waits from Received on; zero if it states no limit.
 	CallerTimeout time.Duration
+	// Team is the team whose key the caller sent; nil on public routes and if the configuration has no teams.
+	Team *pollencatalog.Team
 	// Content identifies requests with the same content from the same caller.
 	Content pollensuspect.Fingerprint
 	// Passed is set if another instance has passed the request on. Received is then when that one read the header.
