Spread requests evenly when servers pause and many instances choose at once

Cause: one answer that a pause had delayed made all instances that saw it avoid its server for seconds, while the other replicas were overrun; and the queue of a server counted only the instance's own requests.

Change: a sample counts with at most three times the estimate before it, the estimate after a single slow sample decays in 0.3 s instead of 3 s and longer only if further samples are slow, and requests in flight count double. The ranking counts choices of a longer queue and sheds.

--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -22,6 +22,16 @@
 	random  *rand.Rand
 	routes  map[string]*pollenquantile.Sketch
 	servers map[pollencatalog.Incarnation]*server
+	counts  Counts
+}
+
+// Counts holds how evenly an instance has spread its requests since its start.
+type Counts struct {
+	// Choices is the number of servers that were chosen among several, LongerQueue that of the choices of a server with more
+	// of this instance's requests in flight per slot than another one had.
+	Choices, LongerQueue int
+	// Sheds is the number of requests that servers have shed.
+	Sheds int
 }
 
 // Outcome is the result of a request to a server.
@@ -48,8 +58,20 @@
 	// sampleWeight is the weight of a new sample in a server's moving averages; the last five samples make up two
 	// thirds.
 	sampleWeight = 0.2
-	// decayTime is the time in which an estimate without new samples moves two thirds of the way to its typical value.
-	decayTime = 3 * time.Second
+	// recoveryWeight is the weight of a usual sample after a single slow one.
+	recoveryWeight = 0.5
+	// maxSampleRatio bounds a sample by the estimate before it, so that one answer that a pause has delayed does not divert
+	// the requests of all instances to the other replicas.
+	maxSampleRatio = 3
+	// slowSampleRatio is the latency, in medians of the route, above which a sample is slow.
+	slowSampleRatio = 2
+	// decayTime is the time in which an estimate without new samples moves two thirds of the way to its typical value. After
+	// slow samples it is shortDecayTime, doubled with each further one: a pause is over soon, a slow server stays slow.
+	decayTime      = 3 * time.Second
+	shortDecayTime = 300 * time.Millisecond
+	// queueWeight is the weight of a request in flight in the expected cost. Other instances choose at the same moment and by
+	// the same old answers, so that a queue that one instance sees is longer than its own requests.
+	queueWeight = 2
 	// failurePenalty is the cost of a certain failure, its detection and a retry, in median latencies.
 	failurePenalty = 6
 	// stallFactor is the multiple of its expected latency after which a request in flight counts as stalled.
@@ -77,6 +99,10 @@
 type server struct {
 	// latencyRatio is the ratio of the server's latencies to the route's median.
 	latencyRatio float64
+	// slowSamples counts the consecutive slow samples whose requests were sent after the one before had been recorded, at
+	// lastSlow; those that one pause delays together count once.
+	slowSamples int
+	lastSlow    time.Time
 	// failureRate is the share of recent requests that were shed or failed.
 	failureRate float64
 	// updated is when the estimates were last updated; they decay from then on.
@@ -125,12 +151,16 @@
 	defer r.mu.Unlock()
 	best, found := 0, false
 	var bestCold bool
-	total := 0.0
+	total, available := 0.0, 0
+	shortest, bestQueue := math.Inf(1), 0.0
 	for i, candidate := range candidates {
 		s := r.server(candidate)
 		if s.isUnavailable(now) {
 			continue
 		}
+		available++
+		queue := s.queued(candidate)
+		shortest = min(shortest, queue)
 		cold := candidate.Cold(now)
 		if found && cold && !bestCold {
 			continue
@@ -141,10 +171,16 @@
 		weight := math.Pow(r.expectedCost(route, candidate, s, now).Seconds(), -latencyExponent)
 		total += weight
 		if !found || bestCold != cold || r.random.Float64()*total < weight {
-			best, bestCold = i, cold
+			best, bestCold, bestQueue = i, cold, queue
 		}
 		found = true
 	}
+	if available > 1 {
+		r.counts.Choices++
+		if bestQueue > shortest {
+			r.counts.LongerQueue++
+		}
+	}
 	return best, found
 }
 
@@ -179,6 +215,13 @@
 // minSamples is the number of answers before a route's quantiles are used.
 const minSamples = 20
 
+// Counts returns how evenly the requests were spread so far.
+func (r *Ranking) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
+
 // AnyAvailable reports whether at least one server is neither ejected nor unresponsive.
 func (r *Ranking) AnyAvailable(candidates []*pollencatalog.Server, now time.Time) bool {
 	return r.CountAvailable(candidates, now) > 0
@@ -266,6 +309,7 @@
 		s.failureRate += sampleWeight * (0 - s.failureRate)
 		s.consecutiveFailures, s.ejectedUntil, s.lastAnswer = 0, time.Time{}, now
 	case Shed:
+		r.counts.Sheds++
 		s.failureRate += sampleWeight * (1 - s.failureRate)
 		s.consecutiveFailures, s.ejectedUntil = 0, time.Time{}
 	case Misdirected:
@@ -320,7 +364,19 @@
 func (r *Ranking) recordLatency(o *Observation, latency time.Duration, now time.Time) {
 	s := o.server
 	s.latencyRatio = s.latencyRatioAt(now)
-	s.latencyRatio += sampleWeight * (float64(latency)/float64(r.medianLatency(o.route)) - s.latencyRatio)
+	sample := min(float64(latency)/float64(r.medianLatency(o.route)), maxSampleRatio*s.latencyRatio)
+	weight := sampleWeight
+	switch {
+	case sample <= slowSampleRatio:
+		if s.slowSamples <= 1 {
+			weight = recoveryWeight
+		}
+		s.slowSamples = 0
+	case o.started.After(s.lastSlow):
+		s.slowSamples++
+		s.lastSlow = now
+	}
+	s.latencyRatio += weight * (sample - s.latencyRatio)
 	s.updated = now
 }
 
@@ -329,11 +385,15 @@
 func (r *Ranking) expectedCost(route string, candidate *pollencatalog.Server, s *server, now time.Time) time.Duration {
 	median := float64(r.medianLatency(route))
 	latency := median * s.latencyRatioAt(now)
-	queued := float64(len(s.inFlight)) / float64(max(candidate.Slots, 1))
-	cost := latency*(1+queued) + median*failurePenalty*s.failureRateAt(now)
+	cost := latency*(1+queueWeight*s.queued(candidate)) + median*failurePenalty*s.failureRateAt(now)
 	return time.Duration(cost) + s.stallTime(now)
 }
 
+// queued returns the number of this instance's requests in flight per slot of the server.
+func (s *server) queued(candidate *pollencatalog.Server) float64 {
+	return float64(len(s.inFlight)) / float64(max(candidate.Slots, 1))
+}
+
 // stallTime returns the age of the oldest stalled request in flight, zero if none is stalled.
 func (s *server) stallTime(now time.Time) time.Duration {
 	longest := time.Duration(0)
@@ -348,15 +408,22 @@
 
 // latencyRatioAt returns the latency ratio, decayed toward the typical value 1.
 func (s *server) latencyRatioAt(now time.Time) float64 {
-	return 1 + (s.latencyRatio-1)*s.remainingWeight(now)
+	decay := decayTime
+	if s.latencyRatio > 1 {
+		// The bound only keeps the shift from overflowing.
+		decay = min(decayTime, shortDecayTime<<min(max(s.slowSamples-1, 0), 8))
+	}
+	return 1 + (s.latencyRatio-1)*s.remainingWeight(now, decay)
 }
 
 // failureRateAt returns the failure rate, decayed toward the typical value 0.
-func (s *server) failureRateAt(now time.Time) float64 { return s.failureRate * s.remainingWeight(now) }
+func (s *server) failureRateAt(now time.Time) float64 {
+	return s.failureRate * s.remainingWeight(now, decayTime)
+}
 
-// remainingWeight returns the weight, between 0 and 1, that the estimates still have since their last update.
-func (s *server) remainingWeight(now time.Time) float64 {
-	return math.Exp(-float64(now.Sub(s.updated)) / float64(decayTime))
+// remainingWeight returns the weight, between 0 and 1, that an estimate still has since the last update.
+func (s *server) remainingWeight(now time.Time, decay time.Duration) float64 {
+	return math.Exp(-float64(now.Sub(s.updated)) / float64(decay))
 }
 
 // isUnavailable reports whether the server gets no requests because it is unresponsive, ejected or being probed.
