Let standbys ask other zones' watchers before a failing store

Change: a standby whose watcher has lost the store asks the other zones' watchers, and the store only if none has it, at random times up to half of the configuration delay apart while the store does not answer. Registered instances ask the store as before, and so notice its return.

--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +50,12 @@
 	WatchSlack time.Duration
 	// Dial connects to a peer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// OtherWatchers returns the addresses of the other zones' watchers, which an instance on standby asks before the store; if it
+	// is nil, there are none.
+	OtherWatchers func() []netip.AddrPort
+	// StoreRetry is the longest time between two calls of the store by an instance on standby while the store does not answer
+	// and all watchers have lost it.
+	StoreRetry time.Duration
 }
 
 // Source reads the store through the zone's watcher, or directly while the watcher can't be used.
@@ -57,6 +65,10 @@
 	config SourceConfig
 	// watcher is the connection to the watcher that was called last.
 	watcher peerConn
+	// other is the connection to another zone's watcher, otherAddress its address while it answers.
+	other        peerConn
+	otherAddress netip.AddrPort
+	pace         storePace
 	// fallback is set while the source reads the store because the watcher failed or is stale.
 	fallback bool
 	// newest is the latest position that the store or a watcher has answered with.
@@ -73,7 +85,10 @@
 	if config.Suspects == nil {
 		config.Suspects = pollensuspect.New(pollensuspect.Config{})
 	}
-	return &Source{config: config, watcher: peerConn{dial: config.Dial}}
+	if config.OtherWatchers == nil {
+		config.OtherWatchers = func() []netip.AddrPort { return nil }
+	}
+	return &Source{config: config, watcher: peerConn{dial: config.Dial}, other: peerConn{dial: config.Dial}}
 }
 
 // Rank returns the number of standby followers that come before this instance, by the watcher's last reply.
@@ -132,12 +147,20 @@
 // store does. It returns none when wait has passed, at the watcher after WatchWait at most.
 func (s *Source) Watch(ctx context.Context, prefix string, after pollenstore.Position, wait time.Duration) (pollenstore.Changes, error) {
 	s.newest = s.newest.Advance(after)
-	reply, ok := s.callWatcher(ctx, methodWatch, WatchRequest{
+	request := WatchRequest{
 		Follower: s.config.Self, Standby: s.config.Standby(), After: after.Revision, Era: after.Era, Wait: min(wait, s.config.WatchWait),
 		SuspectsVersion: s.suspectsVersion,
-	})
-	if ok {
+	}
+	reply, ok := s.callWatcher(ctx, methodWatch, request)
+	switch {
+	case ok:
 		s.storeRank(reply)
+		s.pace.reset()
+		s.otherAddress = netip.AddrPort{}
+	case s.fallback && request.Standby && ctx.Err() == nil:
+		if reply, ok = s.callOtherWatchers(ctx, request); !ok && !s.mayCallStore() {
+			return pollenstore.Changes{}, &StaleError{Address: s.watcher.address}
+		}
 	}
 	switch {
 	case ok && reply.Compacted:
@@ -149,6 +172,7 @@
 		return pollenstore.Changes{}, ctx.Err()
 	}
 	changes, err := s.config.Store.Watch(ctx, prefix, after, wait)
+	s.pace.record(err == nil || pollenstore.HistoryGone(err), time.Now(), s.config.StoreRetry, rand.Float64())
 	var restored *pollenstore.RestoredError
 	if errors.As(err, &restored) {
 		s.newest = s.newest.Advance(pollenstore.Position{Era: restored.Era})
@@ -187,6 +211,35 @@
 	return reply, err == nil
 }
 
+// mayCallStore reports whether an instance on standby may call the store now, although all watchers have lost it or don't answer.
+func (s *Source) mayCallStore() bool {
+	return len(s.config.OtherWatchers()) == 0 || s.pace.allow(time.Now(), s.config.StoreRetry, rand.Float64())
+}
+
+// callOtherWatchers calls the other zones' watchers, the one that has answered last first, and reports whether one has answered from
+// a replica that is not stale.
+func (s *Source) callOtherWatchers(ctx context.Context, request WatchRequest) (*Reply, bool) {
+	// The other zone's standbys are ranked without this instance.
+	request.Standby = false
+	addresses := s.config.OtherWatchers()
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	if i := slices.Index(addresses, s.otherAddress); i > 0 {
+		addresses[0], addresses[i] = addresses[i], addresses[0]
+	}
+	s.otherAddress = netip.AddrPort{}
+	for _, address := range addresses {
+		callCtx, cancel := context.WithTimeout(ctx, s.config.WatchWait+s.config.WatchSlack)
+		reply, err := s.other.call(callCtx, address, methodWatch, request)
+		cancel()
+		if err == nil && !reply.Stale && !s.isOfEarlierEra(reply) {
+			s.mergeSuspects(reply)
+			s.otherAddress = address
+			return reply, true
+		}
+	}
+	return nil, false
+}
+
 // mergeSuspects adds the evidence of a reply, which holds none if it is unchanged.
 func (s *Source) mergeSuspects(reply *Reply) {
 	if reply.Suspects.Version != 0 {
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -128,6 +128,9 @@
 	// Followers of a watcher use shorter watches, so that they add little to the watcher's delay.
 	peerWaitShare  = 0.15
 	peerSlackShare = 0.1
+	// standbyRetryShare is the longest time between two calls of a store that does not answer by an instance on standby: with
+	// the watch after it, a store that only the watchers can't reach is still read in time.
+	standbyRetryShare = 0.5
 )
 
 func dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
@@ -183,6 +186,7 @@
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
 		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
 		WatchWait: scale(settings.ConfigurationDelay, peerWaitShare), WatchSlack: scale(settings.ConfigurationDelay, peerSlackShare),
+		OtherWatchers: f.otherWatchers, StoreRetry: scale(settings.ConfigurationDelay, standbyRetryShare),
 	})
 	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
 		Reader: f.source, Seeds: pollenrelay.NewSeeds(pollenrelay.SeedsConfig{Addresses: settings.otherSeeds(), Timeout: seedTimeout, Dial: dialPeer, Suspects: f.suspects}),
--- a/pollenentry/pollenfront/registration.go
+++ b/pollenentry/pollenfront/registration.go
@@ -108,3 +108,20 @@
 	}
 	return watcher.PeerAddress, true
 }
+
+// otherWatchers returns the peer addresses of the other zones' watchers.
+func (f *Frontend) otherWatchers() []netip.AddrPort {
+	instances := f.view.Table().Instances()
+	var addresses []netip.AddrPort
+	zones := map[string]bool{f.self.Zone: true}
+	for _, i := range instances {
+		if zones[i.Zone] {
+			continue
+		}
+		zones[i.Zone] = true
+		if watcher, ok := pollenroster.ZoneWatcher(instances, i.Zone); ok && watcher.PeerAddress.IsValid() {
+			addresses = append(addresses, watcher.PeerAddress)
+		}
+	}
+	return addresses
+}
