--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -15,17 +15,10 @@
 	Limits   Limits
 	// Teams lists the teams whose requests are served; if it is empty, requests need no key.
 	Teams []*Team
-}
-
-// Team is a group of callers with common keys.
-type Team struct {
-	Name string
-	// Priority orders teams by urgency; 0 is the most urgent. It goes before the priority of the route.
-	Priority int
-	// PerSecond and Burst are the rate and the capacity of the token bucket that limits the team's requests to all instances
-	// together; the team has no limit if PerSecond is zero.
-	PerSecond float64
-	Burst     float64
+	// Problems lists what the configuration states and is not followed.
+	Problems []error
+	// TeamsByKey holds the teams by the digests of their keys.
+	TeamsByKey map[KeyDigest]*Team
 }
 
 // Route defines how requests under one host and path prefix are served.
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -194,6 +194,9 @@
 		return
 	}
 	klog.InfoS("Configuration adopted", "version", configuration.Version, "before", v.configurationVersion(), "routes", len(configuration.Routes))
+	for _, problem := range configuration.Problems {
+		klog.ErrorS(problem, "Configuration is not followed in one point", "version", configuration.Version)
+	}
 	v.configuration = configuration
 }
 
