Admit requests of teams by their keys

An instance that passes a request on sends the caller's key in a field of its own, which no instance forwards: with Authorization, an instance whose configuration has no teams yet would have sent the key to its servers.

A team's priority goes before the route's.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -48,7 +48,7 @@
 		}
 	}
 	started := c.forwarder.queue.Admit(ctx, pollenadmit.Request{
-		Priority: c.route.Priority, CapacityKey: c.route.Name, Arrived: c.request.Received, TryStart: c.tryStart,
+		Priority: c.request.priority(c.route), CapacityKey: c.route.Name, Arrived: c.request.Received, TryStart: c.tryStart,
 		Deadline: admissionDeadline, CallerRetry: c.callerRetry,
 	})
 	c.stats.CallerRetry, c.stats.QueueTime = c.callerRetry, time.Since(now)
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -72,7 +72,7 @@
 
 // Serve sends the request to the route's services and returns the reply with statistics on its subrequests.
 //
-// Its errors are *RefusedError, *FailedError, *HarmfulRequestError and *CallerDisconnectedError.
+// Its errors are *RefusedError, *OverQuotaError, *FailedError, *HarmfulRequestError and *CallerDisconnectedError.
 func (f *Forwarder) Serve(ctx context.Context, route *pollencatalog.Route, request *Request) (*Reply, *Stats, error) {
 	services := route.Shards
 	if !route.Sharded() {
@@ -143,6 +143,8 @@
 	// Passes counts the instances that the request was passed on to, PassedTo is the last of them.
 	Passes   int
 	PassedTo string
+	// ServedElsewhere is set if an instance that the request was passed on to has served it, with any result.
+	ServedElsewhere bool
 	// LastFailure describes the newest failed attempt.
 	LastFailure string
 	// LastServer is the ID of the server that got the newest request.
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -29,6 +29,9 @@
 	CallerTimeout time.Duration
 	// Team is the team whose key the caller sent; nil on public routes and if the configuration has no teams.
 	Team *pollencatalog.Team
+	// Credentials holds the fields in which the caller sent its key, if the configuration has teams. Only another instance that the
+	// request is passed on to gets them.
+	Credentials []string
 	// Content identifies requests with the same content from the same caller.
 	Content pollensuspect.Fingerprint
 	// Passed is set if another instance has passed the request on. Received is then when that one read the header.
@@ -39,6 +42,22 @@
 	Memory *pollenmemory.Account
 }
 
+// TeamName returns the name of the request's team, or "" if it has none.
+func (r *Request) TeamName() string {
+	if r.Team == nil {
+		return ""
+	}
+	return r.Team.Name
+}
+
+// priority returns the urgency of the request on a route: that of its team, if that has one, else that of the route.
+func (r *Request) priority(route *pollencatalog.Route) int {
+	if r.Team == nil || r.Team.RoutePriority {
+		return route.Priority
+	}
+	return r.Team.Priority
+}
+
 // ServerRequest describes one request to one server.
 type ServerRequest struct {
 	Request *Request
@@ -168,6 +187,17 @@
 	return fmt.Sprintf("request not run: %s; retry after %v", e.Cause, e.RetryAfter)
 }
 
+// OverQuotaError reports a request that has not run and will not run, because its team is over its quota.
+type OverQuotaError struct {
+	Team string
+	// RetryAfter is how long the caller should wait before it retries.
+	RetryAfter time.Duration
+}
+
+func (e *OverQuotaError) Error() string {
+	return fmt.Sprintf("request not run: team %q is over its quota; retry after %v", e.Team, e.RetryAfter)
+}
+
 // FailedError reports a request that may have run and got no usable answer.
 type FailedError struct {
 	Cause string
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -14,7 +14,7 @@
 
 // Passer passes requests on to other instances, which send them to servers.
 type Passer interface {
-	// Pass sends a request to an instance and returns its reply, or an *UnsentError, *RefusedError, *FailedError,
+	// Pass sends a request to an instance and returns its reply, or an *UnsentError, *RefusedError, *OverQuotaError, *FailedError,
 	// *HarmfulRequestError or *NoAnswerError. The instance does not pass it on again.
 	Pass(ctx context.Context, instance pollencatalog.Instance, request *Request, deadline time.Time) (*Reply, error)
 }
@@ -94,6 +94,7 @@
 		var unsent *UnsentError
 		var refused *RefusedError
 		var noAnswer *NoAnswerError
+		var overQuota *OverQuotaError
 		isRefused := errors.As(err, &refused)
 		unavailable := errors.As(err, &unsent) || (isRefused && refused.Unreached)
 		f.config.Peers.End(instance.Name, unavailable, time.Now())
@@ -112,7 +113,12 @@
 			c.stats.LastFailure = err.Error()
 			// The other instance may have used all attempts that are left.
 			return nil, &FailedError{Cause: fmt.Sprintf("instance %s did not answer", instance.Name)}
+		case errors.As(err, &overQuota) && mayHaveRun:
+			return nil, &FailedError{Cause: fmt.Sprintf("this instance lost its servers, and instance %s: %v", instance.Name, err)}
+		case overQuota != nil:
+			return nil, err
 		default:
+			c.stats.ServedElsewhere = true
 			return reply, err
 		}
 	}
