Show operators the teams and what they use

Metrics by team (requests by status, a latency histogram) for the first 100 teams, then "other"; GET /teams at the metrics address and pollenctl teams list name, priority, rate, burst and the requests that the instance has served in the last 5 s, without keys. The counts are bounded by 1,024 teams and one window (package pollenteam).

--- a/pollenctl/main.go
+++ b/pollenctl/main.go
@@ -4,13 +4,14 @@
 	"flag"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"pollenline.example/pollen/pollencommand"
 )
 
 func main() {
-	os.Exit(pollencommand.Main(append(callerCommands(), operatorCommands()...)...))
+	os.Exit(pollencommand.Main(slices.Concat(callerCommands(), operatorCommands(), teamCommands())...))
 }
 
 // addressFlag declares the -address flag.
--- /dev/null
+++ b/pollenctl/teams_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a command that reads another form of the teams than instances write.
+func TestTeamsArePrinted(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/teams" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		_, err := w.Write([]byte(`[{"Name":"a","Priority":1,"PerSecond":18,"Burst":20,"Used":7,"WindowSeconds":5},{"Name":"b","Priority":null}]`))
+		c.Check(err, qt.IsNil)
+	}))
+	defer server.Close()
+	teams, err := fetchTeams(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()))
+	c.Assert(err, qt.IsNil)
+	var text strings.Builder
+	c.Assert(printTeams(&text, teams), qt.IsNil)
+	c.Assert(text.String(), qt.Equals, "Name  Priority  Per second  Burst  Used  Window\na     1         18          20     7     5s\nb     -         -           -      0     0s\n")
+}
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -1,10 +1,13 @@
 package pollenfront
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"pollenline.example/pollen/pollenteam"
 )
 
 // metrics holds the Prometheus collectors of one instance.
@@ -12,8 +15,16 @@
 	registry *prometheus.Registry
 	latency  *prometheus.HistogramVec
 	requests *prometheus.CounterVec
+	// teamLatency and teamRequests have the labels that teamLabels bounds; teamUsage counts what is served for each team.
+	teamLatency  *prometheus.HistogramVec
+	teamRequests *prometheus.CounterVec
+	teamLabels   pollenteam.Labels
+	teamUsage    *pollenteam.Usage
 }
 
+// teamUsageWindow is the window of the numbers of requests that operators are told.
+const teamUsageWindow = 5 * time.Second
+
 // newMetrics returns the collectors; limitedServers returns the number of servers that state a limit, refusedContents that
 // of the contents of which requests are refused.
 func newMetrics(limitedServers, refusedContents func() int) *metrics {
@@ -26,8 +37,16 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollen_requests_total", Help: "Callers' requests by route and status.",
 		}, []string{"route", "status"}),
+		teamLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pollen_team_request_seconds", Help: "Latency of callers' requests by team.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"team"}),
+		teamRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollen_team_requests_total", Help: "Callers' requests by team and status.",
+		}, []string{"team", "status"}),
+		teamUsage: pollenteam.NewUsage(teamUsageWindow),
 	}
-	m.registry.MustRegister(m.latency, m.requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	m.registry.MustRegister(m.latency, m.requests, m.teamLatency, m.teamRequests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
 	}, func() float64 { return float64(limitedServers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_refused_contents", Help: "Contents of which requests are refused because servers end under them.",
@@ -40,3 +59,14 @@
 	m.latency.WithLabelValues(route).Observe(latency.Seconds())
 	m.requests.WithLabelValues(route, strconv.Itoa(status)).Inc()
 }
+
+// ObserveTeam records one request of a team. It implements pollenplatform.Observer.
+func (m *metrics) ObserveTeam(team string, status int, latency time.Duration) {
+	label := m.teamLabels.Label(team)
+	m.teamLatency.WithLabelValues(label).Observe(latency.Seconds())
+	m.teamRequests.WithLabelValues(label, strconv.Itoa(status)).Inc()
+	// Requests with these statuses have not run.
+	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+		m.teamUsage.Record(team, time.Now())
+	}
+}
--- a/pollenentry/pollenfront/operator.go
+++ b/pollenentry/pollenfront/operator.go
@@ -8,7 +8,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollensuspect"
+	"pollenline.example/pollen/pollenteam"
 )
 
 // refusedContent is the JSON form of a verdict in the answers to operators.
@@ -19,16 +21,44 @@
 	SeenBy       []string
 }
 
-// newOperatorHandler returns the handler of the metrics address: the metrics, and the list of contents of which requests are
-// refused, from which operators may remove one.
+// newOperatorHandler returns the handler of the metrics address: the metrics, the teams, and the list of contents of which
+// requests are refused, from which operators may remove one.
 func (f *Frontend) newOperatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /teams", f.listTeams)
 	mux.HandleFunc("GET /refused", f.listRefused)
 	mux.HandleFunc("DELETE /refused/{content}", f.liftRefusal)
 	return mux
 }
 
+// listTeams answers with the teams of the configuration in force, in its order and without their keys.
+func (f *Frontend) listTeams(w http.ResponseWriter, _ *http.Request) {
+	var teams []*pollencatalog.Team
+	if configuration := f.view.Table().Configuration(); configuration != nil {
+		teams = configuration.Teams
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(teamStatuses(teams, f.metrics.teamUsage, time.Now())); err != nil {
+		klog.V(1).InfoS("Writing the list of teams failed", "err", err)
+	}
+}
+
+// teamStatuses describes teams with what they have used.
+func teamStatuses(teams []*pollencatalog.Team, usage *pollenteam.Usage, now time.Time) []pollenteam.Status {
+	list := []pollenteam.Status{}
+	for _, team := range teams {
+		status := pollenteam.Status{
+			Name: team.Name, PerSecond: team.PerSecond, Burst: team.Burst, Used: usage.Used(team.Name, now), WindowSeconds: usage.Window().Seconds(),
+		}
+		if !team.RoutePriority {
+			status.Priority = &team.Priority
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
 func (f *Frontend) listRefused(w http.ResponseWriter, _ *http.Request) {
 	list := []refusedContent{}
 	for _, v := range f.suspects.Verdicts(time.Now()) {
