--- a/pollen/pollencatalog/team.go
+++ b/pollen/pollencatalog/team.go
@@ -55,6 +55,9 @@
 // SetTeams sets the teams of a configuration that is not in use yet, and appends to its Problems what is not followed: a key
 // stays with the first team that states it, teams of one name are one team, and a limit that is negative or not finite is none.
 func (c *Configuration) SetTeams(stated []StatedTeam) {
+	if len(stated) == 0 {
+		return
+	}
 	c.TeamsByKey = make(map[KeyDigest]*Team)
 	byName := make(map[string]*Team)
 	report := func(team, format string, arguments ...any) {
