Check keys and team names in the soak

Callers of the soak belong to three teams and send their team's key; 6 in 100 requests have no key, an unknown one or one that may have been removed, and 3 in 10 claim to be of another team. The fault keys-changed adds a key to a team and removes the former one. The promise Keys: a request runs only for the team that holds its key in a version in force, the server gets that team's name and no key, and a known key never gets 401.

--- a/pollenbench/pollensoak/check.go
+++ b/pollenbench/pollensoak/check.go
@@ -46,6 +46,7 @@
 	{"DeadlyContained", "a request that has ended three servers reaches servers three times more at most, soon after the third", checkDeadlyContained},
 	{"ServedElsewhere", "an instance that is cut off from the servers serves its callers two thirds as often as others", checkServedElsewhere},
 	{"InForce", "a configuration version is applied within its bound, and no older version is used afterwards", checkInForce},
+	{"Keys", "a request runs only for the team that holds its key, whose name the server gets in place of the key, and a known key is never refused", checkKeys},
 	{"NothingCut", "planned operations interrupt no request in flight", checkNothingCut},
 	{"StopsInTime", "an instance exits without an error within its stop timeout", checkStopsInTime},
 	{"Recovers", "requests succeed again within the recovery bound after the last fault", checkRecovers},
@@ -382,6 +383,48 @@
 	}
 }
 
+func checkKeys(r *record, report func(string, string, ...any)) {
+	for _, o := range r.outcomes {
+		since := time.Time{}
+		if r.storeUndisturbed(r.instanceNumber(o), o.Sent) {
+			since = o.Sent.Add(-r.bounds.Apply)
+		}
+		for _, run := range r.runs[o.Request.ID] {
+			if run.Carries(keyPrefix) {
+				report(o.Request.ID, "server %s received a key", run.Server)
+			}
+			if !slices.ContainsFunc(r.versionsSince(since, run.StartedAt), func(v *version) bool { return v.allowsTeam(o.Request, run.Team()) }) {
+				report(o.Request.ID, "ran with the key %q for the team %q, which no version in force states", o.Request.Key, run.Team())
+			}
+		}
+		known := !slices.ContainsFunc(r.versionsSince(since, o.Ended), func(v *version) bool { return v.configuration.TeamOf(o.Request.Key) == "" })
+		if o.Status == http.StatusUnauthorized && (known || r.newestRoute(o.Request.Path).Public) {
+			report(o.Request.ID, "status 401, although the key %q is known or %s needs none", o.Request.Key, o.Request.Path)
+		}
+	}
+}
+
+// versionsSince returns the versions that were still current at a given time or later and were sent before another.
+func (r *record) versionsSince(since, until time.Time) []*version {
+	var current []*version
+	for n, v := range r.versions {
+		replaced := n+1 < len(r.versions) && !r.versions[n+1].ackedAt.IsZero() && r.versions[n+1].ackedAt.Before(since)
+		if !replaced && !v.sentAt.After(until) {
+			current = append(current, v)
+		}
+	}
+	return current
+}
+
+// allowsTeam reports whether a request may run as that of a team, or of no team if the name is empty.
+func (v *version) allowsTeam(request pollenfakeplatform.Request, team string) bool {
+	public := slices.ContainsFunc(v.configuration.Routes, func(route pollenfakeplatform.Route) bool { return route.Prefix == request.Path && route.Public })
+	if public || len(v.configuration.Teams) == 0 {
+		return team == ""
+	}
+	return team != "" && team == v.configuration.TeamOf(request.Key)
+}
+
 func checkNothingCut(r *record, report func(string, string, ...any)) {
 	for _, o := range r.outcomes {
 		if o.Status != 0 || o.ConnectFailed || o.Ended.Sub(o.Sent) >= o.Request.Timeout || !r.requestsUndisturbed(r.instanceNumber(o), o.Sent, o.Ended) {
--- a/pollenbench/pollensoak/check_test.go
+++ b/pollenbench/pollensoak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
@@ -88,6 +89,24 @@
 	}
 }
 
+// useKeys makes the requests of "o" carry the key of team "a", and its run that of a team, on routes of which all others are public.
+func useKeys(r *record, runTeam, holder string) {
+	configuration := &r.versions[0].configuration
+	configuration.Teams = []pollenfakeplatform.Team{{Name: "a", Keys: []string{keyPrefix + holder}}, {Name: "b", Keys: []string{keyPrefix + "b"}}}
+	configuration.Routes[0].Public, configuration.Routes[1].Public = true, true
+	r.outcomes[2].Request.Key = keyPrefix + "a"
+	r.runs["o"][0].Header = http.Header{"Tenant": {runTeam}}
+}
+
+// removeKeys replaces the version by one in which no team has a key, five seconds before the requests.
+func removeKeys(r *record) {
+	useKeys(r, "a", "a")
+	newer := *r.versions[0]
+	newer.sentAt, newer.ackedAt = atSecond(45), atSecond(45)
+	newer.configuration.Teams = []pollenfakeplatform.Team{{Name: "a"}}
+	r.versions = append(r.versions, &newer)
+}
+
 // Guards against checks that miss a violation, and against checks that report one where only another promise is broken
 // or where the request is exempt because of a fault or a tolerance.
 func TestChecksReportOnlyBrokenPromise(t *testing.T) {
@@ -156,6 +175,36 @@
 			limitServer(r, 20, 30)
 			r.disturbances = []*disturbance{{instance: 0, effect: disturbsPace, begin: atSecond(45), end: atSecond(47)}}
 		}, ""},
+		{"key of the team", func(r *record) { useKeys(r, "a", "a") }, ""},
+		{"key of another team", func(r *record) { useKeys(r, "b", "a") }, "Keys"},
+		{"key not replaced", func(r *record) {
+			useKeys(r, "a", "a")
+			r.runs["o"][0].Header["X"] = []string{"Bearer " + keyPrefix + "a"}
+		}, "Keys"},
+		{"key of no team", func(r *record) {
+			useKeys(r, "a", "a")
+			r.versions[0].configuration.Teams[0].Keys = nil
+		}, "Keys"},
+		{"no key", func(r *record) { useKeys(r, "a", ""); r.outcomes[2].Request.Key = "" }, "Keys"},
+		{"team on a public route", func(r *record) {
+			useKeys(r, "a", "a")
+			r.versions[0].configuration.Routes[2].Public = true
+		}, "Keys"},
+		{"known key refused", func(r *record) {
+			useKeys(r, "a", "a")
+			addOutcome(r, "refused", pathOnce, 401, 50)
+			r.outcomes[len(r.outcomes)-1].Request.Key = keyPrefix + "a"
+		}, "Keys"},
+		{"unknown key refused", func(r *record) {
+			useKeys(r, "a", "a")
+			addOutcome(r, "refused", pathOnce, 401, 50)
+			r.outcomes[len(r.outcomes)-1].Request.Key = keyPrefix + "x"
+		}, ""},
+		{"removed key", func(r *record) { removeKeys(r) }, "Keys"},
+		{"removed key, out of touch", func(r *record) {
+			removeKeys(r)
+			r.disturbances = []*disturbance{{instance: 0, effect: disturbsStore, begin: atSecond(48), end: atSecond(49)}}
+		}, ""},
 		{"cut", func(r *record) { r.outcomes[1].Status = 0 }, "NothingCut"},
 		{"cut by a fault", func(r *record) {
 			r.outcomes[1].Status = 0
--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -37,8 +37,15 @@
 	serverRestartDelay = 1500 * time.Millisecond
 	// leaveDelay is how long a drained server keeps serving after the drain bound.
 	leaveDelay = time.Second
+	teamCount  = 3
 )
 
+// keyPrefix begins every key, so that a key is recognized wherever it appears.
+const keyPrefix = "soak-key-"
+
+// firstKey returns the key with which a team begins.
+func firstKey(team int) string { return fmt.Sprintf("%s%d-0", keyPrefix, team) }
+
 // zones are the availability zones of servers and instances.
 var zones = []string{"zone-a", "zone-b"}
 
@@ -87,6 +94,12 @@
 	// deployMu orders the configuration versions; reshardMu, evacuateMu and restoreMu serialise resharding, evacuation and restores
 	// of the store.
 	deployMu, reshardMu, evacuateMu, restoreMu sync.Mutex
+	// teams holds the teams as the next version of the configuration states them; currentKeys holds the key that the callers of
+	// each team use.
+	teams       []pollenfakeplatform.Team
+	currentKeys [teamCount]atomic.Pointer[string]
+	// keysMu serialises changes of keys.
+	keysMu sync.Mutex
 	// deadlyCaller is the name of a caller whose requests end servers, nil if there is none.
 	deadlyCaller atomic.Pointer[string]
 	// cutOff holds the numbers of the instances that are cut off from the servers.
@@ -98,6 +111,11 @@
 		program: program, directory: directory, store: pollenfakestore.New(), ledger: pollenfakeplatform.NewLedger(), cutOff: make(map[int]bool),
 		record: &record{bounds: platformBounds, instanceByAddress: make(map[string]int)},
 	}
+	for n := range teamCount {
+		key := firstKey(n)
+		c.teams = append(c.teams, pollenfakeplatform.Team{Name: fmt.Sprintf("team-%d", n), Keys: []string{key}, Priority: 1})
+		c.currentKeys[n].Store(&key)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for the store: %w", err)
@@ -342,10 +360,12 @@
 	query.Name, query.Prefix, query.Shards, query.TopK, query.MinimumCoverage = "query", pathQuery, c.shards(c.shardGeneration), 5, 0.75
 	plainX.Name, plainX.Prefix, plainX.Service = "plain", pathPlain, plainServices[0]
 	movingRoute.Name, movingRoute.Prefix, movingRoute.Service, movingRoute.Attempts = "moving", pathMoving, moving, 1
+	movingRoute.Public = true
 	once.Name, once.Prefix, once.Service, once.Idempotent = "once", pathOnce, plainServices[1], false
 	services := append(c.shards(c.shardGeneration), plainServices...)
 	return pollenfakeplatform.Configuration{
 		Version: c.version, Routes: []pollenfakeplatform.Route{query, plainX, movingRoute, once}, Services: services, Connections: serviceConnections,
+		Teams: slices.Clone(c.teams),
 	}
 }
 
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -54,6 +54,7 @@
 	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
 	{"requests-deadly", "the requests of one caller end each server that begins to run them", injectDeadlyRequests},
 	{"instance-cut-off", "an instance's connections to all servers stall, others work", injectCutOff},
+	{"keys-changed", "a team gets a new key, and its former one is removed", injectKeyChange},
 }
 
 func (c *cluster) randomInstance(random *rand.Rand) *entryInstance {
@@ -385,3 +386,19 @@
 	c.record.mu.Unlock()
 	return pollenfakeplatform.EndEvacuation(ctx, c.store, zone)
 }
+
+// injectKeyChange adds a key to a team, lets its callers use it once it must be known, and removes the former key once no request
+// with it can be in flight.
+func injectKeyChange(ctx context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
+	c.keysMu.Lock()
+	defer c.keysMu.Unlock()
+	team, key := random.IntN(teamCount), fmt.Sprintf("%s%x", keyPrefix, random.Uint64())
+	former := *c.currentKeys[team].Load()
+	if err := c.deploy(ctx, func() { c.teams[team].Keys = []string{former, key} }); err != nil {
+		return err
+	}
+	time.Sleep(c.record.bounds.Apply)
+	c.currentKeys[team].Store(&key)
+	time.Sleep(callerTimeout)
+	return c.deploy(ctx, func() { c.teams[team].Keys = []string{key} })
+}
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -72,6 +72,10 @@
 	callerTimeout      = 2 * time.Second
 	// deadlyShare is the share of requests that come from a deadly caller while there is one.
 	deadlyShare = 0.03
+	// badKeyShare is the share of requests with no key, an unknown one or one that may have been removed, and claimedTeamShare that
+	// of requests that claim to be of another team.
+	badKeyShare      = 0.06
+	claimedTeamShare = 0.3
 	// inFlightDrain is the time in which servers complete what is in flight after the last request.
 	inFlightDrain = 500 * time.Millisecond
 )
@@ -188,6 +192,8 @@
 // runCaller sends requests to all routes, one at a time, until ctx is done.
 func (c *cluster) runCaller(ctx context.Context, number int, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, uint64(number)+2))
+	// The keys are drawn apart from the requests, so that seeds give the same requests as before there were keys.
+	keyRandom := rand.New(rand.NewPCG(seed, uint64(number)+2+1<<32))
 	caller := &pollenfakeplatform.Caller{Directories: c.directories(), Pick: random.IntN}
 	defer caller.Close()
 	for n := 0; ctx.Err() == nil; n++ {
@@ -198,8 +204,11 @@
 		if request.Path == pathOnce {
 			request.Method, request.Body = http.MethodPost, "reserve "+request.ID
 		}
+		c.chooseKey(&request, number%teamCount, keyRandom)
 		if deadly := c.deadlyCaller.Load(); deadly != nil && random.Float64() < deadlyShare {
 			request.Path, request.Method, request.Body, request.Caller = pathQuery, http.MethodGet, "", *deadly
+			// The evidence is kept for each team.
+			request.Key = *c.currentKeys[0].Load()
 		}
 		outcome := caller.Send(ctx, request)
 		c.record.addOutcome(outcome)
@@ -211,6 +220,17 @@
 	}
 }
 
+// chooseKey sets the key of a request of a team's caller.
+func (c *cluster) chooseKey(request *pollenfakeplatform.Request, team int, random *rand.Rand) {
+	request.Key = *c.currentKeys[team].Load()
+	if random.Float64() < badKeyShare {
+		request.Key = []string{"", keyPrefix + "unknown", firstKey(team)}[random.IntN(3)]
+	}
+	if random.Float64() < claimedTeamShare {
+		request.ClaimedTeam = fmt.Sprintf("team-%d", (team+1)%teamCount)
+	}
+}
+
 // directories returns the addresses at which instances answer callers that resolve the service.
 func (c *cluster) directories() []netip.AddrPort {
 	var addresses []netip.AddrPort
