--- a/pollen/pollenteam/charge.go
+++ b/pollen/pollenteam/charge.go
@@ -34,15 +34,23 @@
 }
 
 // Settle refunds the charge of a request that ended with err, if it has not run and will not run, or if another instance has
-// charged it. The stats are nil if it was not served.
-func (c Charge) Settle(stats *pollenforward.Stats, err error, now time.Time) {
+// charged it. The stats are nil if it was not served. The time is read only for a refund.
+func (c Charge) Settle(stats *pollenforward.Stats, err error, now func() time.Time) {
 	if c.quota == nil {
 		return
 	}
-	var refused *pollenforward.RefusedError
-	var overQuota *pollenforward.OverQuotaError
 	unsent := stats == nil || stats.Sends == 0 && stats.Passes == 0
-	if errors.As(err, &refused) || errors.As(err, &overQuota) || unsent || stats.ServedElsewhere {
-		c.quota.Refund(c.team, now)
+	if unsent || stats.ServedElsewhere || isRefusal(err) {
+		c.quota.Refund(c.team, now())
 	}
 }
+
+// isRefusal reports whether an error says that the request has not run and will not run.
+func isRefusal(err error) bool {
+	if err == nil {
+		return false
+	}
+	var refused *pollenforward.RefusedError
+	var overQuota *pollenforward.OverQuotaError
+	return errors.As(err, &refused) || errors.As(err, &overQuota)
+}
