Read servers' announcements and decide whether a server may be sent a request

Cause: a server that says in its answers that it leaves, or for how long it wants no requests, was sent requests until the store said so. A request that waited for its connection is checked again immediately before its first byte.

--- a/pollen/pollenforward/harness_test.go
+++ b/pollen/pollenforward/harness_test.go
@@ -54,8 +54,10 @@
 	f.timeLeft = append(f.timeLeft, time.Until(request.Deadline))
 	b := f.behaviour[request.Server.ID]
 	f.mu.Unlock()
-	if !b.connecting && !request.SendGuard.Claim() {
-		return nil, &UnsentError{Server: request.Server.ID, Err: &WithdrawnError{}}
+	if !b.connecting {
+		if err := request.Claim(); err != nil {
+			return nil, &UnsentError{Server: request.Server.ID, Err: err}
+		}
 	}
 	wait := time.After(b.delay)
 	if b.hang {
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenmemory"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollensuspect"
@@ -51,8 +52,24 @@
 	MaxAnswerBytes int64
 	// SendContext is done once the request should no longer be sent; it does not end a request that was sent.
 	SendContext context.Context
-	// SendGuard must be claimed immediately before the first byte is sent.
+	// SendGuard keeps the request from being sent once it is withdrawn.
 	SendGuard *SendGuard
+	// Gate holds what the server has announced since it was chosen; if it is nil, nothing.
+	Gate *pollengate.Gate
+}
+
+// Claim must be called immediately before the first byte is sent. It returns a *HeldBackError or *WithdrawnError if the request
+// must not be sent any more, and bars its withdrawal otherwise.
+func (r *ServerRequest) Claim() error {
+	if r.Gate != nil {
+		if reason := r.Gate.Announced(r.Server, r.Request.Received, time.Now()); reason != pollengate.None {
+			return &HeldBackError{Reason: reason}
+		}
+	}
+	if !r.SendGuard.Claim() {
+		return &WithdrawnError{}
+	}
+	return nil
 }
 
 // SendGuard makes sure that a request is either sent or withdrawn, never both. The zero value is ready to use.
@@ -79,6 +96,13 @@
 
 func (e *WithdrawnError) Error() string { return "request withdrawn before it was sent" }
 
+// HeldBackError reports a request whose server announced, while the request waited for a connection, that it wants no more.
+type HeldBackError struct {
+	Reason pollengate.Reason
+}
+
+func (e *HeldBackError) Error() string { return fmt.Sprintf("server held back: %v", e.Reason) }
+
 // Answer holds a server's complete answer.
 type Answer struct {
 	Status int
@@ -88,6 +112,10 @@
 	Signature string
 	// Limit is what the answer states about the rate of requests that the server takes.
 	Limit pollenquota.Limit
+	// Leaving is set if the server states that it leaves.
+	Leaving bool
+	// RetryAfter is for how long the server wants no more requests from this instance; zero if it does not state that.
+	RetryAfter time.Duration
 }
 
 // Success reports whether the answer has a status of the 2xx class.
@@ -135,6 +163,10 @@
 	Misdirected bool
 	// Limit is what the answer states about the rate of requests that the server takes.
 	Limit pollenquota.Limit
+	// Leaving is set if the server states that it leaves.
+	Leaving bool
+	// RetryAfter is for how long the server wants no more requests from this instance; zero if it does not state that.
+	RetryAfter time.Duration
 }
 
 func (e *NotRunError) Error() string {
--- a/pollen/pollenramp/limiter.go
+++ b/pollen/pollenramp/limiter.go
@@ -46,19 +46,42 @@
 	return l.checkRate(server, table, now, true)
 }
 
-// checkRate reports whether a request may be sent to a server now, and counts it if acquire is set.
-func (l *ColdLimiter) checkRate(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time, acquire bool) bool {
-	if !server.Cold(now) || table.Configuration() == nil {
+// Holds reports whether a server is cold and may not be sent a request now. Unlike Allows, it does not begin to count the time for a
+// server that was not asked for before.
+func (l *ColdLimiter) Holds(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time) bool {
+	if _, limited := l.interval(server, table, now); !limited {
+		return false
+	}
+	if sender := Sender(table.Senders(), server); sender != "" && sender != l.config.InstanceName {
 		return true
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.servers[server.Incarnation()]
+	return !ok || now.Before(b.nextSend)
+}
+
+// interval returns the time between two requests to a cold server, or false if the server is not limited.
+func (l *ColdLimiter) interval(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time) (time.Duration, bool) {
+	if !server.Cold(now) || table.Configuration() == nil {
+		return 0, false
+	}
 	rate := table.Configuration().Services[server.Service].ColdRate
 	if rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(time.Second) / (rate * senderRateShare)), true
+}
+
+// checkRate reports whether a request may be sent to a server now, and counts it if acquire is set.
+func (l *ColdLimiter) checkRate(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time, acquire bool) bool {
+	interval, limited := l.interval(server, table, now)
+	if !limited {
 		return true
 	}
 	if sender := Sender(table.Senders(), server); sender != "" && sender != l.config.InstanceName {
 		return false
 	}
-	interval := time.Duration(float64(time.Second) / (rate * senderRateShare))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := server.Incarnation()
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -197,6 +197,14 @@
 	return count
 }
 
+// Ejected reports whether a server is ejected or unresponsive. It adds no estimates.
+func (r *Ranking) Ejected(candidate *pollencatalog.Server, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.servers[candidate.Incarnation()]
+	return ok && s.isUnavailable(now)
+}
+
 // RecordRefusal records that a server refuses connections, and ejects it.
 func (r *Ranking) RecordRefusal(refusing *pollencatalog.Server, now time.Time) {
 	r.mu.Lock()
