Hold servers back that leave or ask for a pause, and say why in log and metrics

Cause: first sends, hedges, retries, pending subrequests and requests that wait for a connection went to such servers. Change: pollenforward filters candidates by the gate, refuses requests at once whose services lack servers past the admission deadline, with a Retry-After from the end of the pause, and logs the reasons (HeldBack); the metric pollen_held_back_servers counts them.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"pollenline.example/pollen/pollenadmit"
@@ -36,11 +35,8 @@
 		}
 	}
 	admissionDeadline := c.schedule.admissionDeadline(c.callerRetry)
-	if belowLimit := c.countBelowLimit(now, admissionDeadline); belowLimit < c.requiredAnswers() {
-		return &RefusedError{
-			Cause:      fmt.Sprintf("servers below their limits for %d of %d services, %d needed", belowLimit, len(c.subrequests), c.requiredAnswers()),
-			RetryAfter: RetryAfterOverload(timeLeft, rand.Float64()),
-		}
+	if err := c.refuseHeldBack(now, admissionDeadline); err != nil {
+		return err
 	}
 	if c.caution == pollensuspect.SendSuspect && !c.canTest(now) {
 		return &RefusedError{
@@ -56,6 +52,8 @@
 	// The hedge delay starts when the request leaves the queue.
 	c.schedule.HedgeAt = c.schedule.HedgeAt.Add(c.stats.QueueTime)
 	switch {
+	case c.heldBack != nil:
+		return c.heldBack
 	case started:
 		return nil
 	case ctx.Err() != nil:
@@ -63,7 +61,7 @@
 	}
 	return &RefusedError{
 		Cause:      fmt.Sprintf("servers of too few services have room, %d of %d needed", c.requiredAnswers(), len(c.subrequests)),
-		RetryAfter: RetryAfterOverload(timeLeft, rand.Float64()),
+		RetryAfter: c.retryAfter(time.Now()),
 	}
 }
 
@@ -73,7 +71,9 @@
 // Services whose servers are all at their limits do not count as pending: other calls wait for the same few requests.
 func (c *call) tryStart(now time.Time) bool {
 	if c.countBelowLimit(now, now) < c.requiredAnswers() {
-		return false
+		// The call ends at once if it can no longer start in time, because servers have asked for pauses while it waited.
+		c.heldBack = c.refuseHeldBack(now, c.schedule.admissionDeadline(c.callerRetry))
+		return c.heldBack != nil
 	}
 	if c.decideCaution(now) != nil {
 		// The call has started and ends at once, as it may send nothing.
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -49,6 +48,8 @@
 	otherSenders float64
 	// callerRetry is set if the caller repeats a request that was refused.
 	callerRetry bool
+	// heldBack is set if the call was refused while it waited, because its servers are held back.
+	heldBack error
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// lastErrorAnswer is the newest answer that did not complete its subrequest.
@@ -164,6 +165,7 @@
 	if limit, ok := answeredLimit(answer, err); ok {
 		c.forwarder.config.Quotas.RecordAnswer(request.Server, limit, c.forwarder.config.Table(), observation.Started(), now)
 	}
+	c.forwarder.recordAnnouncements(request.Server, answer, err, now)
 	c.forwarder.queue.Dispatch(now)
 	c.results <- result{subrequest: i, attempt: attemptIndex, answer: answer, err: err, crashed: crashed}
 }
@@ -192,6 +194,7 @@
 // outcome classifies the result of an attempt for the ranking.
 func outcome(sendCtx context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
+	var heldBack *HeldBackError
 	switch {
 	case errors.As(err, &notRun) && notRun.Misdirected:
 		return pollenrank.Misdirected
@@ -199,7 +202,7 @@
 		return pollenrank.Refused
 	case errors.As(err, &notRun):
 		return pollenrank.Shed
-	case err != nil && sendCtx.Err() != nil:
+	case err != nil && sendCtx.Err() != nil, errors.As(err, &heldBack):
 		return pollenrank.Abandoned
 	case err != nil || answer.Status >= 500:
 		return pollenrank.Failed
@@ -352,7 +355,7 @@
 	case harmful != nil:
 		return nil, harmful
 	case c.withdrawUnsent():
-		return nil, &RefusedError{Cause: "no server took the request", Unreached: c.stats.Unconnected > 0, RetryAfter: RetryAfterOverload(c.schedule.End.Sub(now), rand.Float64())}
+		return nil, &RefusedError{Cause: "no server took the request", Unreached: c.stats.Unconnected > 0, RetryAfter: c.retryAfter(now)}
 	case !now.Before(c.schedule.End):
 		return nil, &FailedError{Cause: "no answer in time", TimedOut: true}
 	}
--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -48,7 +48,7 @@
 	if c.answered.Load() || f.config.Reach.CutOff() {
 		return false
 	}
-	expected := !f.config.Table().Accepts(request.Server)
+	expected := !f.config.Table().Accepts(request.Server) || f.config.Gate.IsLeaving(request.Server)
 	if !expected {
 		f.config.Suspects.RecordCrash(request.Request.Content, c.route.Name, request.Server.ID, sentAt, time.Now())
 	}
@@ -195,7 +195,7 @@
 	if c.caution != pollensuspect.SendSuspect || c.answered.Load() {
 		return false
 	}
-	servers := c.forwarder.config.Table().AppendEligible(nil, s.service)
+	servers := slices.DeleteFunc(c.forwarder.config.Table().AppendEligible(nil, s.service), c.forwarder.config.Gate.IsLeaving)
 	if len(servers) < 2 {
 		return false
 	}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
@@ -21,6 +23,8 @@
 	Budget      *pollenbudget.Budget
 	ColdLimiter *pollenramp.ColdLimiter
 	Quotas      *pollenquota.Quotas
+	// Gate decides which servers may be sent requests; if it is nil, the Forwarder has its own.
+	Gate *pollengate.Gate
 	// Suspects decides which requests are held back because servers end under them; if it is nil, the Forwarder has its own.
 	Suspects *pollensuspect.Registry
 	// Reach tells whether this instance reaches the servers; if it is nil, it does.
@@ -61,6 +65,9 @@
 	if config.Reach == nil {
 		config.Reach = pollenreach.NewTracker()
 	}
+	if config.Gate == nil {
+		config.Gate = pollengate.New(pollengate.Config{Table: config.Table, Limits: config.Quotas, ColdLimits: config.ColdLimiter, Health: config.Ranking})
+	}
 	return &Forwarder{config: config, started: time.Now()}
 }
 
@@ -96,6 +103,10 @@
 		c.subrequests[i].service = service
 	}
 	reply, err := c.serve(ctx)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		c.stats.HeldBack = c.countHeldBack(time.Now())
+	}
 	return reply, c.stats, err
 }
 
@@ -143,6 +154,8 @@
 	// Passes counts the instances that the request was passed on to, PassedTo is the last of them.
 	Passes   int
 	PassedTo string
+	// HeldBack counts the servers of the request's services that got no requests when it was refused, by reason.
+	HeldBack pollengate.Counts
 	// LastFailure describes the newest failed attempt.
 	LastFailure string
 	// LastServer is the ID of the server that got the newest request.
--- a/pollen/pollenforward/harness_test.go
+++ b/pollen/pollenforward/harness_test.go
@@ -27,6 +27,11 @@
 	// hang blocks the request until it is cancelled; connecting leaves its SendGuard unclaimed, so that it can be
 	// withdrawn.
 	hang, connecting bool
+	// connectDelay is the time until there is a connection.
+	connectDelay time.Duration
+	// leaving and retryAfter are what the answer states; with retryAfter the server does not run the request.
+	leaving    bool
+	retryAfter time.Duration
 }
 
 // fakeExchanger is an Exchanger whose servers behave as configured by a test.
@@ -34,7 +39,9 @@
 	mu        sync.Mutex
 	behaviour map[string]behaviour
 	// sent lists the server IDs of all requests; cancelled counts the requests whose context ended before their result.
-	sent      []string
+	sent []string
+	// arrived lists those among them that were not held back or withdrawn.
+	arrived   []string
 	cancelled int
 	// loseAnswer decides for each request whether its answer is lost.
 	loseAnswer func() bool
@@ -54,11 +61,15 @@
 	f.timeLeft = append(f.timeLeft, time.Until(request.Deadline))
 	b := f.behaviour[request.Server.ID]
 	f.mu.Unlock()
+	time.Sleep(b.connectDelay)
 	if !b.connecting {
 		if err := request.Claim(); err != nil {
 			return nil, &UnsentError{Server: request.Server.ID, Err: err}
 		}
 	}
+	f.mu.Lock()
+	f.arrived = append(f.arrived, request.Server.ID)
+	f.mu.Unlock()
 	wait := time.After(b.delay)
 	if b.hang {
 		wait = nil
@@ -81,7 +92,24 @@
 	if status == 0 {
 		status = 200
 	}
-	return &Answer{Status: status, Body: []byte(b.body), Signature: "by " + request.Server.ID}, nil
+	if b.retryAfter > 0 {
+		return nil, &NotRunError{Server: request.Server.ID, Status: 503, Leaving: b.leaving, RetryAfter: b.retryAfter}
+	}
+	return &Answer{Status: status, Body: []byte(b.body), Signature: "by " + request.Server.ID, Leaving: b.leaving}, nil
+}
+
+// arrivedAt returns how many requests have reached a server.
+func (f *fakeExchanger) arrivedAt(server string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(slices.DeleteFunc(slices.Clone(f.arrived), func(s string) bool { return s != server }))
+}
+
+// set replaces the behaviour of a server.
+func (f *fakeExchanger) set(server string, b behaviour) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behaviour[server] = b
 }
 
 func (f *fakeExchanger) sentTo(server string) int {
--- a/pollen/pollenforward/schedule.go
+++ b/pollen/pollenforward/schedule.go
@@ -118,6 +118,15 @@
 	return share(timeLeft, minRetryAfterShare+(maxRetryAfterShare-minRetryAfterShare)*random)
 }
 
+// pauseSpreadShare is the share of the time left over which callers' retries at the end of a pause are spread.
+const pauseSpreadShare = 0.05
+
+// RetryAfterPause returns how long a caller should wait until servers that want no requests for a time take them again; random is
+// between 0 and 1. It is not longer than the caller can still be served.
+func RetryAfterPause(timeLeft, pause time.Duration, random float64) time.Duration {
+	return min(pause+share(timeLeft, pauseSpreadShare*random), share(timeLeft, maxRetryAfterShare))
+}
+
 // share returns a fraction of a duration.
 func share(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(float64(d) * fraction)
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -61,7 +61,7 @@
 	request := ServerRequest{
 		Request: c.request, Server: server, Deadline: c.schedule.CallerDeadline,
 		ConnectionLimit: c.forwarder.connectionLimit(table, s.service, now), SendContext: s.sendCtx, SendGuard: guard,
-		MaxAnswerBytes: maxPartBytes(c.route),
+		MaxAnswerBytes: maxPartBytes(c.route), Gate: c.forwarder.config.Gate,
 	}
 	go c.exchange(i, len(s.attempts)-1, observation, request, isTest)
 	return true
@@ -111,11 +111,11 @@
 	return c.bestServer(table, s, tried, now)
 }
 
-// bestServer returns the best of the servers that their limits and the cold limiter allow, preferably one with an available
-// connection, and whether it has capacity.
+// bestServer returns the best of the servers that may be sent a request now, preferably one with an available connection, and
+// whether it has capacity.
 func (c *call) bestServer(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
-	servers = slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool {
-		return !c.forwarder.config.ColdLimiter.Allows(server, table, now) || c.forwarder.config.Quotas.NextSend(server, table, now).After(now)
+	servers = slices.DeleteFunc(c.sendableBy(servers, now, now), func(server *pollencatalog.Server) bool {
+		return !c.forwarder.config.ColdLimiter.Allows(server, table, now)
 	})
 	limit := c.forwarder.connectionLimit(table, s.service, now)
 	connectable := make([]*pollencatalog.Server, 0, len(servers))
@@ -165,19 +165,23 @@
 	return c.forwarder.config.Ranking.AnyAvailable(c.forwarder.config.Table().AppendEligible(nil, s.service), now)
 }
 
-// hasServerBelowLimit reports whether any available server of the subrequest may get a request until a time by its limit.
-func (c *call) hasServerBelowLimit(s *subrequest, now, until time.Time) bool {
-	table := c.forwarder.config.Table()
-	servers := slices.DeleteFunc(table.AppendEligible(nil, s.service), func(server *pollencatalog.Server) bool {
-		return c.forwarder.config.Quotas.NextSend(server, table, now).After(until)
+// sendableBy removes from the servers those that may not be sent a request of the call by a time, because of what they have stated.
+func (c *call) sendableBy(servers []*pollencatalog.Server, now, by time.Time) []*pollencatalog.Server {
+	return slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool {
+		return !c.forwarder.config.Gate.MaySendBy(server, c.request.Received, now, by)
 	})
+}
+
+// hasServerBelowLimit reports whether any available server of the subrequest may get a request until a time by what it has stated.
+func (c *call) hasServerBelowLimit(s *subrequest, now, until time.Time) bool {
+	servers := c.sendableBy(c.forwarder.config.Table().AppendEligible(nil, s.service), now, until)
 	return c.forwarder.config.Ranking.AnyAvailable(servers, now)
 }
 
 // countBelowLimit returns the number of subrequests for which hasServerBelowLimit holds, all of them if no server states a
-// limit.
+// limit, leaves or is paused.
 func (c *call) countBelowLimit(now, until time.Time) int {
-	if c.forwarder.config.Quotas.LimitedServers() == 0 {
+	if c.forwarder.config.Quotas.LimitedServers() == 0 && !c.forwarder.config.Gate.Holding() {
 		return len(c.subrequests)
 	}
 	count := 0
@@ -213,7 +217,7 @@
 	}
 	server, ok := c.chooseServer(s, now)
 	if !ok {
-		if c.hasServerBelowLimit(s, now, c.schedule.End) {
+		if c.hasServerBelowLimit(s, now, c.waitDeadline(now)) {
 			return nil, retryWhenCapacity
 		}
 		return nil, retryNever
--- a/pollen/pollengate/gate.go
+++ b/pollen/pollengate/gate.go
@@ -221,10 +221,10 @@
 	return next, reason
 }
 
-// MaySendBy reports whether the server's statements allow a request that its caller sent at sentAt by a time.
+// MaySendBy reports whether the server's statements allow a request that its caller sent at sentAt now or by a time.
 func (g *Gate) MaySendBy(server *pollencatalog.Server, sentAt, now, by time.Time) bool {
 	next, reason := g.NextSend(server, sentAt, now)
-	return reason != Leaving && reason != VersionNotAdmitted && !next.After(by)
+	return reason != Leaving && reason != VersionNotAdmitted && (!next.After(now) || !next.After(by))
 }
 
 // Check returns why a server may not be sent a request now that its caller sent at sentAt, or None. It changes no state.
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -22,6 +22,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenfollow"
 	"pollenline.example/pollen/pollenforward"
+	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenmemory"
 	"pollenline.example/pollen/pollenpool"
 	"pollenline.example/pollen/pollenquota"
@@ -45,6 +46,7 @@
 	ranking     *pollenrank.Ranking
 	coldLimiter *pollenramp.ColdLimiter
 	quotas      *pollenquota.Quotas
+	gate        *pollengate.Gate
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
@@ -166,7 +168,11 @@
 	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects})
 	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
-	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused)
+	f.gate = pollengate.New(pollengate.Config{
+		DrainNotice: settings.DrainNotice.Std(), Table: func() *pollencatalog.Table { return f.view.Table() },
+		Limits: f.quotas, ColdLimits: f.coldLimiter, Health: f.ranking,
+	})
+	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) })
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -217,6 +223,7 @@
 		Ranking:               f.ranking,
 		ColdLimiter:           f.coldLimiter,
 		Quotas:                f.quotas,
+		Gate:                  f.gate,
 		Suspects:              f.suspects,
 		Budget:                f.retryBudget,
 		Table:                 f.view.Table,
@@ -279,6 +286,7 @@
 func (f *Frontend) Reload(settings *Settings) {
 	previous := f.settings.Swap(settings)
 	f.retryBudget.Configure(settings.budgetConfig())
+	f.gate.Configure(settings.DrainNotice.Std())
 	klog.InfoS("Reload", "changed", !reflect.DeepEqual(previous, settings), "restartNeeded", !reflect.DeepEqual(previous.startupSettings(), settings.startupSettings()))
 }
 
@@ -350,6 +358,7 @@
 	f.ranking.Prune(table)
 	f.coldLimiter.Prune(table)
 	f.quotas.Prune(table)
+	f.gate.Prune(table, time.Now())
 	f.peers.Prune(table)
 	f.noteTableChanged()
 	if table.Configuration() == nil {
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"pollenline.example/pollen/pollengate"
 )
 
 // metrics holds the Prometheus collectors of one instance.
@@ -15,8 +17,8 @@
 }
 
 // newMetrics returns the collectors; limitedServers returns the number of servers that state a limit, refusedContents that
-// of the contents of which requests are refused.
-func newMetrics(limitedServers, refusedContents func() int) *metrics {
+// of the contents of which requests are refused, and heldBack that of the servers that get no requests, by reason.
+func newMetrics(limitedServers, refusedContents func() int, heldBack func() pollengate.Counts) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -31,10 +33,30 @@
 		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
 	}, func() float64 { return float64(limitedServers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_refused_contents", Help: "Contents of which requests are refused because servers end under them.",
-	}, func() float64 { return float64(refusedContents()) }))
+	}, func() float64 { return float64(refusedContents()) }), &heldBackCollector{
+		count: heldBack,
+		desc:  prometheus.NewDesc("pollen_held_back_servers", "Backend servers that may not be sent a request now, by reason.", []string{"reason"}, nil),
+	})
 	return m
 }
 
+// heldBackCollector counts the servers that get no requests when the metrics are read.
+type heldBackCollector struct {
+	count func() pollengate.Counts
+	desc  *prometheus.Desc
+}
+
+// Describe implements prometheus.Collector.
+func (h *heldBackCollector) Describe(descs chan<- *prometheus.Desc) { descs <- h.desc }
+
+// Collect implements prometheus.Collector.
+func (h *heldBackCollector) Collect(metrics chan<- prometheus.Metric) {
+	counts := h.count()
+	for _, reason := range pollengate.Reasons() {
+		metrics <- prometheus.MustNewConstMetric(h.desc, prometheus.GaugeValue, float64(counts[reason]), reason.String())
+	}
+}
+
 // Observe records one request. It implements pollenplatform.Observer.
 func (m *metrics) Observe(route string, status int, latency time.Duration) {
 	m.latency.WithLabelValues(route).Observe(latency.Seconds())
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 )
@@ -49,6 +50,8 @@
 	RetryWindow pollensettings.Duration
 	// StopTimeout is the time within which the process must exit after SIGTERM or SIGINT.
 	StopTimeout pollensettings.Duration
+	// DrainNotice is the time after a server's announcement that it leaves from which it must get no newer requests.
+	DrainNotice pollensettings.Duration
 	// LongestLifetime bounds how long callers may cache an answer of the directory.
 	LongestLifetime pollensettings.Duration
 	// CallerTrip is the network round-trip time between caller and instance.
@@ -73,6 +76,7 @@
 	return &Settings{
 		RetryWindow:        pollensettings.Duration(10 * time.Second),
 		StopTimeout:        pollensettings.Duration(6 * time.Second),
+		DrainNotice:        pollensettings.Duration(pollengate.DefaultDrainNotice),
 		LongestLifetime:    pollensettings.Duration(5 * time.Second),
 		CallerTrip:         pollensettings.Duration(20 * time.Millisecond),
 		StoreTimeout:       pollensettings.Duration(time.Second),
@@ -111,7 +115,7 @@
 // startupSettings returns a copy in which the settings that Reload applies are zero.
 func (s *Settings) startupSettings() Settings {
 	startup := *s
-	startup.RetryRatio, startup.RetrySlack, startup.RetryWindow, startup.StopTimeout = 0, 0, 0, 0
+	startup.RetryRatio, startup.RetrySlack, startup.RetryWindow, startup.StopTimeout, startup.DrainNotice = 0, 0, 0, 0, 0
 	startup.SeedAddresses, startup.FirstStart = nil, false
 	return startup
 }
@@ -143,7 +147,7 @@
 		field string
 		value pollensettings.Duration
 	}{
-		{"RetryWindow", s.RetryWindow}, {"StopTimeout", s.StopTimeout}, {"LongestLifetime", s.LongestLifetime},
+		{"RetryWindow", s.RetryWindow}, {"StopTimeout", s.StopTimeout}, {"DrainNotice", s.DrainNotice}, {"LongestLifetime", s.LongestLifetime},
 		{"CallerTrip", s.CallerTrip}, {"StoreTimeout", s.StoreTimeout}, {"StorePause", s.StorePause},
 		{"ConfigurationDelay", s.ConfigurationDelay}, {"InstanceLease", s.InstanceLease},
 	} {
--- a/pollenentry/pollenfront/settings_test.go
+++ b/pollenentry/pollenfront/settings_test.go
@@ -19,6 +19,7 @@
 	"listen.http": "10.1.0.9:8104", "listen.readiness": "10.1.0.9:8108", "listen.directory": "10.1.0.9:8100",
 	"listen.admin": "10.1.0.9:8106", "#seeds": "", "bootstrap": "true", ".": "10.2.0.21:8106", ",": "", "/seeds": "", "limits.cpu_share": "0.4", "limits.memory_mb": "284", "platform.address": "10.200.1.7:8102", "bounds.retry_ratio": "0.2", "bounds.retry_slack": "58",
 	"bounds.budget_window_s": "10", "bounds.grace_s": "6", "bounds.ttl_max_s": "5", "bounds.config_apply_ms": "3000",
+	"bounds.drain_ms": "5000",
 }
 
 // A template that no longer matches Settings keeps a deployed instance from starting.
@@ -35,6 +36,7 @@
 	c.Assert(pollensettings.Parse(data, settings), qt.IsNil)
 	c.Assert(settings.ConfigurationDelay.Std(), qt.Equals, 3*time.Second)
 	c.Assert(settings.StopTimeout.Std(), qt.Equals, 6*time.Second)
+	c.Assert(settings.DrainNotice.Std(), qt.Equals, 5*time.Second)
 	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
 	c.Assert(fmt.Sprint(settings.otherSeeds()), qt.Equals, "[10.2.0.21:8106]")
 }
@@ -67,6 +69,7 @@
 		{"valid", "{" + valid + "}", ""},
 		{"unknown field", "{" + valid + `,"Nam":"x"}`, "unknown field"},
 		{"duration of zero", "{" + valid + `,"StopTimeout":"0s"}`, "field StopTimeout"},
+		{"drain notice of zero", "{" + valid + `,"DrainNotice":"0s"}`, "field DrainNotice"},
 		{"negative ratio", "{" + valid + `,"RetryRatio":-1}`, "field RetryRatio"},
 		{"negative slack", "{" + valid + `,"RetrySlack":-1}`, "field RetrySlack"},
 		{"seed without a port", "{" + valid + `,"SeedAddresses":["10.2.0.21"]}`, "not an ip:port"},
