Keep leaving servers out of crash evidence, reach and requests passed on

Cause: a leaving server closes its connections and then refuses new ones, which counted as a crash and as lost links; an instance that relays another instance's answer did not learn that its server leaves. Change: such ends are expected; the reply to a request that was passed on names the leaving servers that answered it.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -11,6 +11,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenreach"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -48,6 +49,8 @@
 	otherSenders float64
 	// callerRetry is set if the caller repeats a request that was refused.
 	callerRetry bool
+	// leavingServers lists the IDs of leaving servers that answered.
+	leavingServers []string
 	// heldBack is set if the call was refused while it waited, because its servers are held back.
 	heldBack error
 	// mayHaveRun is set once a server may have run the request.
@@ -151,7 +154,12 @@
 	now := time.Now()
 	crashed := false
 	observation.Finish(outcome(request.SendContext, answer, err), now)
-	c.forwarder.config.Reach.End(request.Server, reachOutcome(err), now)
+	reach := reachOutcome(err)
+	if reach == pollenreach.Unreached && c.forwarder.config.Gate.IsLeaving(request.Server) {
+		// A leaving server closes its connections.
+		reach = pollenreach.Unknown
+	}
+	c.forwarder.config.Reach.End(request.Server, reach, now)
 	switch {
 	case err == nil:
 		c.answered.Store(true)
@@ -191,10 +199,15 @@
 	return errors.As(err, &noAnswer) && noAnswer.Broken
 }
 
+// isHeldBack reports whether a request was not sent because its server wants no more.
+func isHeldBack(err error) bool {
+	var heldBack *HeldBackError
+	return errors.As(err, &heldBack)
+}
+
 // outcome classifies the result of an attempt for the ranking.
 func outcome(sendCtx context.Context, answer *Answer, err error) pollenrank.Outcome {
 	var notRun *NotRunError
-	var heldBack *HeldBackError
 	switch {
 	case errors.As(err, &notRun) && notRun.Misdirected:
 		return pollenrank.Misdirected
@@ -202,7 +215,7 @@
 		return pollenrank.Refused
 	case errors.As(err, &notRun):
 		return pollenrank.Shed
-	case err != nil && sendCtx.Err() != nil, errors.As(err, &heldBack):
+	case err != nil && (sendCtx.Err() != nil || isHeldBack(err)):
 		return pollenrank.Abandoned
 	case err != nil || answer.Status >= 500:
 		return pollenrank.Failed
@@ -215,6 +228,9 @@
 	s := &c.subrequests[r.subrequest]
 	s.inFlight--
 	s.attempts[r.attempt].ended = true
+	if r.err == nil && r.answer.Leaving {
+		c.leavingServers = append(c.leavingServers, s.attempts[r.attempt].server.ID)
+	}
 	if r.err == nil && c.isFinal(r.answer) {
 		c.mayHaveRun = true
 		if s.answer == nil {
--- a/pollen/pollenforward/crash_test.go
+++ b/pollen/pollenforward/crash_test.go
@@ -333,3 +333,24 @@
 		})
 	}
 }
+
+// Guards against evidence against requests whose leaving servers close their connections and then refuse new ones.
+func TestLeavingServerDoesNotCountAsEnded(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leaving %v", leaving), func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newCrashHarness(t, true)
+				f := h.forwarders[0]
+				server := f.config.Table().AppendServers(nil, service(0))[0]
+				f.config.Gate.RecordAnswer(server, leaving, 0, time.Now())
+				h.exchanger.end(server.ID)
+				request := ServerRequest{Request: &Request{ID: "r", Content: content("/same", "a", "body")}, Server: server, ConnectionLimit: 1}
+				call := &call{forwarder: f, route: h.route, request: request.Request, stats: &Stats{}}
+				c.Assert(call.detectCrash(request, time.Now()), qt.Equals, !leaving)
+				decision, _ := f.config.Suspects.Decide(request.Request.Content, h.route.Name, time.Now())
+				c.Assert(decision == pollensuspect.Send, qt.Equals, leaving, qt.Commentf("%v", decision))
+			})
+		})
+	}
+}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"pollenline.example/pollen/pollenadmit"
@@ -103,9 +102,8 @@
 		c.subrequests[i].service = service
 	}
 	reply, err := c.serve(ctx)
-	var refused *RefusedError
-	if errors.As(err, &refused) {
-		c.stats.HeldBack = c.countHeldBack(time.Now())
+	if err != nil {
+		c.recordHeldBack(err, time.Now())
 	}
 	return reply, c.stats, err
 }
--- a/pollen/pollenforward/heldback.go
+++ b/pollen/pollenforward/heldback.go
@@ -14,14 +14,7 @@
 // recordAnnouncements records whether an answer of the server itself says that it leaves or wants no requests for a time. At the end
 // of a pause, waiting requests are tried again.
 func (f *Forwarder) recordAnnouncements(server *pollencatalog.Server, answer *Answer, err error, now time.Time) {
-	leaving, retryAfter := false, time.Duration(0)
-	var notRun *NotRunError
-	switch {
-	case err == nil:
-		leaving, retryAfter = answer.Leaving, answer.RetryAfter
-	case errors.As(err, &notRun) && !notRun.Misdirected:
-		leaving, retryAfter = notRun.Leaving, notRun.RetryAfter
-	}
+	leaving, retryAfter := announcement(answer, err)
 	until := f.config.Gate.RecordAnswer(server, leaving, retryAfter, now)
 	if retryAfter <= 0 {
 		return
@@ -32,6 +25,30 @@
 	})
 }
 
+// announcement returns whether an answer of the server itself says that it leaves, and for how long it wants no requests.
+func announcement(answer *Answer, err error) (leaving bool, retryAfter time.Duration) {
+	if err == nil {
+		return answer.Leaving, answer.RetryAfter
+	}
+	var notRun *NotRunError
+	if errors.As(err, &notRun) && !notRun.Misdirected {
+		return notRun.Leaving, notRun.RetryAfter
+	}
+	return false, 0
+}
+
+// recordLeaving records that servers said that they leave, in answers that another instance got and this one relays.
+func (f *Forwarder) recordLeaving(ids []string, now time.Time) {
+	if len(ids) == 0 {
+		return
+	}
+	f.config.Table().ForEachServer(func(server *pollencatalog.Server) {
+		if slices.Contains(ids, server.ID) {
+			f.config.Gate.RecordAnswer(server, true, 0, now)
+		}
+	})
+}
+
 // refuseHeldBack returns a *RefusedError if too few services have a server that may be sent a request by a time.
 func (c *call) refuseHeldBack(now, by time.Time) error {
 	count := c.countBelowLimit(now, by)
@@ -88,17 +105,19 @@
 	return openings[needed-1].at, true
 }
 
-// countHeldBack counts the servers of the call's services that may not be sent a request now, by reason.
-func (c *call) countHeldBack(now time.Time) pollengate.Counts {
-	var counts pollengate.Counts
+// recordHeldBack counts for the log the servers of a refused call's services that may not be sent a request now, by reason.
+func (c *call) recordHeldBack(err error, now time.Time) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
 	var servers []*pollencatalog.Server
 	for i := range c.subrequests {
 		servers = c.forwarder.config.Table().AppendServers(servers[:0], c.subrequests[i].service)
 		for _, server := range servers {
-			counts[c.forwarder.config.Gate.Check(server, c.request.Received, now)]++
+			c.stats.HeldBack[c.forwarder.config.Gate.Check(server, c.request.Received, now)]++
 		}
 	}
-	return counts
 }
 
 // waitDeadline returns until when the call waits for servers that are held back. A call that no server may have run does not wait past
--- a/pollen/pollenforward/heldback_test.go
+++ b/pollen/pollenforward/heldback_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
+	"pollenline.example/pollen/pollenreach"
 )
 
 // otherBehaviours are those of the other server under which a request might come to the one that is held back.
@@ -240,3 +242,38 @@
 		c.Assert(refused.RetryAfter >= 200*time.Millisecond && refused.RetryAfter <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("retry after %v", refused.RetryAfter))
 	})
 }
+
+// relay is a Passer to one other instance.
+type relay struct{ harness *harness }
+
+func (r relay) Pass(ctx context.Context, _ pollencatalog.Instance, request *Request, _ time.Time) (*Reply, error) {
+	passed := *request
+	passed.Passed = true
+	reply, _, err := r.harness.forwarder.Serve(ctx, unshardedRoute(true), &passed)
+	return reply, err
+}
+
+// Guards against an instance that relays a leaving server's answer for another one, which has regained the servers when it sends
+// requests to that server.
+func TestInstanceThatPassesOnLearnsOfLeavingServer(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := qt.New(t)
+		other, h := newHarness(1, 1000), newHarness(1, 1000)
+		other.announce(t, behaviour{leaving: true})
+		other.exchanger.set("b0", behaviour{leaving: true})
+		h.forwarder.config.Passer, h.forwarder.config.Peers = relay{other}, pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2)))
+		h.forwarder.config.Others = func() []pollencatalog.Instance { return []pollencatalog.Instance{{Name: "entry-2"}} }
+		call := &call{forwarder: h.forwarder, request: newRequest(), stats: &Stats{}, schedule: Schedule{End: time.Now().Add(time.Second), CallerDeadline: time.Now().Add(time.Second)}}
+		reply, err := call.pass(t.Context(), nil, false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Leaving, qt.IsNil)
+		leaving := 0
+		for _, server := range h.table.AppendServers(nil, service(0)) {
+			if h.forwarder.config.Gate.IsLeaving(server) {
+				leaving++
+				c.Assert(reply.Signature, qt.Equals, "by "+server.ID)
+			}
+		}
+		c.Assert(leaving, qt.Equals, 1)
+	})
+}
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -139,6 +139,9 @@
 	Parts []string
 	// Missing is the number of shards without an answer.
 	Missing int
+	// Leaving lists the IDs of the leaving servers that answered a request that another instance has passed on. That instance relays
+	// the answer too, and must not send requests to these servers.
+	Leaving []string
 }
 
 // UnsentError reports a request of which no byte was sent.
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -53,7 +53,11 @@
 		if c.request.Passed && f.config.Reach.CutOff() {
 			return nil, &RefusedError{Cause: "this instance reaches no servers", Unreached: true, RetryAfter: RetryAfterOutage(time.Until(c.schedule.End))}
 		}
-		return c.run(ctx)
+		reply, err := c.run(ctx)
+		if reply != nil {
+			reply.Leaving = c.leavingServers
+		}
+		return reply, err
 	}
 	if f.config.Reach.CutOff() {
 		if err := c.decideCaution(time.Now()); err != nil {
@@ -113,6 +117,10 @@
 			// The other instance may have used all attempts that are left.
 			return nil, &FailedError{Cause: fmt.Sprintf("instance %s did not answer", instance.Name)}
 		default:
+			if reply != nil {
+				f.recordLeaving(reply.Leaving, time.Now())
+				reply.Leaving = nil
+			}
 			return reply, err
 		}
 	}
