--- a/pollenbench/pollensoak/check.go
+++ b/pollenbench/pollensoak/check.go
@@ -43,6 +43,8 @@
 	{"Draining", "a draining server receives no requests after the drain bound", checkDraining},
 	{"Evacuated", "servers of an evacuated zone receive no requests after the evacuation bound", checkEvacuated},
 	{"StatedLimit", "a server that states how many requests per second it takes gets no more, within the tolerance", checkStatedLimit},
+	{"Leaving", "a server that has announced to an instance's caller that it leaves gets no newer requests from there after the drain bound", checkLeaving},
+	{"Pause", "a server that refuses a request and states for how long gets at most two more from that instance", checkPause},
 	{"DeadlyContained", "a request that has ended three servers reaches servers three times more at most, soon after the third", checkDeadlyContained},
 	{"ServedElsewhere", "an instance that is cut off from the servers serves its callers two thirds as often as others", checkServedElsewhere},
 	{"InForce", "a configuration version is applied within its bound, and no older version is used afterwards", checkInForce},
@@ -283,6 +285,78 @@
 	}
 }
 
+// sending is the way from an instance to a server.
+type sending struct {
+	instance int
+	server   string
+}
+
+func checkLeaving(r *record, report func(string, string, ...any)) {
+	announced := make(map[sending]time.Time)
+	for _, o := range r.outcomes {
+		for _, stamp := range append(o.Stamps, o.Stamp) {
+			run := runByStamp(r.runs[o.Request.ID], stamp)
+			if run == nil || !run.Leaving {
+				continue
+			}
+			l := sending{instance: r.instanceNumber(o), server: run.Server}
+			if first, ok := announced[l]; !ok || o.Ended.Before(first) {
+				announced[l] = o.Ended
+			}
+		}
+	}
+	for _, o := range r.outcomes {
+		for _, run := range r.runs[o.Request.ID] {
+			l := sending{instance: r.instanceNumber(o), server: run.Server}
+			first, ok := announced[l]
+			if !ok || !o.Sent.After(first.Add(r.bounds.Drain)) || r.overlapsDisturbance(l.instance, first, run.StartedAt, disturbsPace) {
+				continue
+			}
+			report(o.Request.ID, "ran on server %s, sent %v after instance %d had relayed that the server leaves", run.Server, o.Sent.Sub(first), l.instance)
+		}
+	}
+}
+
+func checkPause(r *record, report func(string, string, ...any)) {
+	arrivals := make(map[sending][]time.Time)
+	instances := make(map[string]int)
+	for _, o := range r.outcomes {
+		instances[o.Request.ID] = r.instanceNumber(o)
+		for _, run := range r.runs[o.Request.ID] {
+			l := sending{instance: r.instanceNumber(o), server: run.Server}
+			arrivals[l] = append(arrivals[l], run.ReceivedAt)
+		}
+	}
+	for _, refusal := range r.refusals {
+		if instance, ok := instances[refusal.Request]; ok {
+			l := sending{instance: instance, server: refusal.Server}
+			arrivals[l] = append(arrivals[l], refusal.At)
+		}
+	}
+	ends := make(map[sending]time.Time)
+	for _, refusal := range r.refusals {
+		instance, ok := instances[refusal.Request]
+		l := sending{instance: instance, server: refusal.Server}
+		if !ok || refusal.At.Before(ends[l]) {
+			continue
+		}
+		ends[l] = refusal.Until
+		from := refusal.At.Add(r.bounds.RefusalNotice)
+		if r.overlapsDisturbance(instance, refusal.At.Add(-r.bounds.Reconnect), refusal.Until, disturbsPace) || r.linksDisturbed(refusal.At.Add(-r.bounds.Reconnect), refusal.Until) {
+			continue
+		}
+		late := 0
+		for _, at := range arrivals[l] {
+			if at.After(from) && at.Before(refusal.Until) {
+				late++
+			}
+		}
+		if late > r.bounds.MaxPausedRequests {
+			report(refusal.Request, "server %s, which wanted none until %v later, received %d more requests from instance %d", refusal.Server, refusal.Until.Sub(refusal.At), late, instance)
+		}
+	}
+}
+
 // deadlyEndsBeforeBound is the number of servers that must have ended under a request before further ones count.
 const deadlyEndsBeforeBound = 3
 
--- a/pollenbench/pollensoak/check_test.go
+++ b/pollenbench/pollensoak/check_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// announceLeaving adds an answer that says at second 50 that its server leaves, and a request to the server that is sent at a second.
+func announceLeaving(r *record, second float64) {
+	for _, sent := range []float64{50, second} {
+		id := fmt.Sprintf("leaving-%v", sent)
+		addOutcome(r, id, pathPlain, 500, sent)
+		addRun(r, id, "srv-leaving", "x", "")
+		run := r.runs[id][0]
+		run.Status, run.Leaving, run.ReceivedAt, run.StartedAt = 500, true, atSecond(sent+0.01), atSecond(sent+0.01)
+		r.outcomes[len(r.outcomes)-1].Stamp = run.Stamp
+	}
+}
+
+// refuse adds requests that a server refuses, one after the other from second 50 on, as it wants none until a second.
+func refuse(r *record, requests int, interval, until float64) {
+	for n := range requests {
+		id, second := fmt.Sprintf("refused-%d", n), 50+interval*float64(n)
+		addOutcome(r, id, pathPlain, 503, second)
+		r.refusals = append(r.refusals, pollenfakeplatform.Refusal{Server: "srv-refusing", Request: id, At: atSecond(second), Until: atSecond(until)})
+	}
+}
+
 // Guards against checks that miss a violation, and against checks that report one where only another promise is broken
 // or where the request is exempt because of a fault or a tolerance.
 func TestChecksReportOnlyBrokenPromise(t *testing.T) {
@@ -156,6 +177,16 @@
 			limitServer(r, 20, 30)
 			r.disturbances = []*disturbance{{instance: 0, effect: disturbsPace, begin: atSecond(45), end: atSecond(47)}}
 		}, ""},
+		{"request to a leaving server", func(r *record) { announceLeaving(r, 53.2) }, "Leaving"},
+		{"request to a server that leaves soon", func(r *record) { announceLeaving(r, 53) }, ""},
+		{"request to a leaving server after a restart", func(r *record) {
+			announceLeaving(r, 53.2)
+			r.disturbances = []*disturbance{{instance: 0, effect: disturbsPace, begin: atSecond(51), end: atSecond(52)}}
+		}, ""},
+		{"requests during a pause", func(r *record) { refuse(r, 4, 0.6, 54) }, "Pause"},
+		{"two requests during a pause", func(r *record) { refuse(r, 3, 0.6, 54) }, ""},
+		{"requests right after a refusal", func(r *record) { refuse(r, 10, 0.05, 54) }, ""},
+		{"requests after a pause", func(r *record) { refuse(r, 4, 0.6, 50.1) }, ""},
 		{"cut", func(r *record) { r.outcomes[1].Status = 0 }, "NothingCut"},
 		{"cut by a fault", func(r *record) {
 			r.outcomes[1].Status = 0
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -54,6 +54,8 @@
 	{"store-restored", "the store comes back from a copy, and the operator and the servers write again", injectRestore},
 	{"requests-deadly", "the requests of one caller end each server that begins to run them", injectDeadlyRequests},
 	{"instance-cut-off", "an instance's connections to all servers stall, others work", injectCutOff},
+	{"server-leaving", "a server says in its answers that it leaves while the store lists it as ready, and ends later", injectLeaving},
+	{"servers-refuse", "some servers refuse all requests for a time that they state", injectRefusals},
 }
 
 func (c *cluster) randomInstance(random *rand.Rand) *entryInstance {
@@ -252,6 +254,32 @@
 	return nil
 }
 
+// injectLeaving lets a server announce that it leaves, and kills it after observedFaultDuration.
+func injectLeaving(ctx context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
+	b := c.removeRandomServer(random)
+	if err := c.addServer(b.server.Service(), b.server.Zone()); err != nil {
+		return err
+	}
+	b.server.AnnounceLeaving()
+	time.Sleep(observedFaultDuration)
+	defer c.record.beginDisturbance(allInstances, disturbsRequests)()
+	b.proxy.close()
+	b.server.KillAndDeregister(ctx)
+	return nil
+}
+
+// refusalDuration is for how long servers refuse all requests.
+const refusalDuration = 4 * time.Second
+
+// injectRefusals makes some servers refuse all requests for refusalDuration.
+func injectRefusals(_ context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
+	for _, b := range c.randomServers(random, 0.3) {
+		b.server.Pause(refusalDuration)
+	}
+	time.Sleep(refusalDuration)
+	return nil
+}
+
 // injectCutOff cuts an instance off from all servers for observedFaultDuration, unless half of them are cut off.
 func injectCutOff(_ context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
 	e := c.randomInstance(random)
--- a/pollenbench/pollensoak/record.go
+++ b/pollenbench/pollensoak/record.go
@@ -28,6 +28,10 @@
 	// LimitFactor times what the limit allows, and LimitSlack requests more.
 	LimitNotice, LimitPeriod time.Duration
 	LimitFactor, LimitSlack  float64
+	// RefusalNotice is how long after a refusal that states a pause requests may still arrive, MaxPausedRequests the number of requests
+	// of one instance that may arrive later during the pause.
+	RefusalNotice     time.Duration
+	MaxPausedRequests int
 	// MaxDeadlyRequests is the number of requests of a deadly caller that may reach servers later than Reconnect after the third
 	// server has ended.
 	MaxDeadlyRequests int
@@ -45,6 +49,7 @@
 	Reconnect: 4 * time.Second, Apply: 3 * time.Second, Drain: 3 * time.Second, Evacuate: 5 * time.Second, StopTimeout: 6 * time.Second,
 	CloseRace: 200 * time.Millisecond, Recovery: 12 * time.Second, MinRecoveredShare: 0.25, DeadlineSlack: 500 * time.Millisecond,
 	LimitNotice: 4 * time.Second, LimitPeriod: 4 * time.Second, LimitFactor: 1.5, LimitSlack: 5,
+	RefusalNotice: 500 * time.Millisecond, MaxPausedRequests: 2,
 	MaxDeadlyRequests: 3, MinCutShare: 2.0 / 3, CutSlack: 10, CutSlackShare: 1.0 / 50,
 }
 
@@ -111,6 +116,7 @@
 	drains       []*change
 	evacuations  []*change
 	limits       []statedLimit
+	refusals     []pollenfakeplatform.Refusal
 	disturbances []*disturbance
 	// deadlyEnds holds when servers ended under the requests of a deadly caller, by its name; cuts holds when instances were cut
 	// off from the servers.
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -225,6 +225,7 @@
 	c.record.mu.Lock()
 	defer c.record.mu.Unlock()
 	runs := c.ledger.All()
+	c.record.refusals = c.ledger.Refusals()
 	c.record.runs = make(map[string][]*pollenfakeplatform.Run)
 	for _, run := range runs {
 		c.record.runs[run.Request] = append(c.record.runs[run.Request], run)
