--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -53,7 +53,11 @@
 		if c.request.Passed && f.config.Reach.CutOff() {
 			return nil, &RefusedError{Cause: "this instance reaches no servers", Unreached: true, RetryAfter: RetryAfterOutage(time.Until(c.schedule.End))}
 		}
-		return c.run(ctx)
+		reply, err := c.run(ctx)
+		if reply != nil {
+			reply.Leaving = c.leavingServers
+		}
+		return reply, err
 	}
 	if f.config.Reach.CutOff() {
 		if err := c.decideCaution(time.Now()); err != nil {
@@ -119,6 +123,10 @@
 			return nil, err
 		default:
 			c.stats.ServedElsewhere = true
+			if reply != nil {
+				f.recordLeaving(reply.Leaving, time.Now())
+				reply.Leaving = nil
+			}
 			return reply, err
 		}
 	}
--- a/pollenentry/pollenfront/team_test.go
+++ b/pollenentry/pollenfront/team_test.go
@@ -9,12 +9,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollengate"
 )
 
 // Guards against metrics that mix up teams or count what has not run as use, and against keys in what operators see.
 func TestTeamsAreCountedAndListed(t *testing.T) {
 	c := qt.New(t)
-	m := newMetrics(func() int { return 0 }, func() int { return 0 })
+	m := newMetrics(func() int { return 0 }, func() int { return 0 }, func() pollengate.Counts { return pollengate.Counts{} })
 	for _, o := range []struct {
 		team   string
 		status int
