--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -161,3 +161,21 @@
 	// LastServer is the ID of the server that got the newest request.
 	LastServer string
 }
+
+// LogFields returns the names and values under which the statistics are logged.
+func (s *Stats) LogFields() []any {
+	fields := []any{"route", s.Route, "covered", s.Covered, "services", s.Services,
+		"returned", s.CallerRetry, "waitedMs", s.QueueTime.Milliseconds(),
+		"sends", s.Sends, "hedges", s.Hedges, "retries", s.Retries, "refusals", s.Refusals,
+		"failures", s.Failures, "broken", s.Broken, "content", s.Content.String(), "cautious", s.Cautious, "denied", s.BudgetDenied, "lastServer", s.LastServer}
+	if s.Passes > 0 {
+		fields = append(fields, "passes", s.Passes, "passedTo", s.PassedTo)
+	}
+	if heldBack := s.HeldBack.String(); heldBack != "" {
+		fields = append(fields, "heldBack", heldBack)
+	}
+	if s.LastFailure != "" {
+		fields = append(fields, "lastFailure", s.LastFailure)
+	}
+	return fields
+}
