--- /dev/null
+++ b/pollen/pollenallowance/usage.go
@@ -0,0 +1,96 @@
+package pollenallowance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Usage is the limit of one team and its use in the last window.
+type Usage struct {
+	Name             string
+	Priority         int
+	PerSecond, Burst float64
+	// Admitted counts requests at all instances, as far as this one knows; Refused those that this instance refused.
+	Admitted, Refused int
+	Window            time.Duration
+}
+
+// Usage returns the use of all limited teams, ordered by name.
+func (a *Allowances) Usage(now time.Time) []Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]Usage, 0, len(a.teams))
+	for _, s := range a.teams {
+		list = append(list, Usage{
+			Name: s.name, Priority: s.priority, PerSecond: s.perSecond, Burst: s.burst, Window: a.config.Window,
+			Admitted: s.uses.sum(a.config.Window, true, now), Refused: s.uses.sum(a.config.Window, false, now),
+		})
+	}
+	slices.SortFunc(list, func(a, b Usage) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// usePeriods is the number of periods into which a window is divided to count its requests.
+const usePeriods = 10
+
+// uses counts requests in the periods of the last window.
+type uses struct {
+	periods [usePeriods]struct {
+		number            int64
+		admitted, refused int
+	}
+}
+
+func periodNumber(window time.Duration, now time.Time) int64 {
+	return now.UnixNano() / max(1, int64(window/usePeriods))
+}
+
+func (u *uses) add(window time.Duration, admitted bool, n int, now time.Time) {
+	number := periodNumber(window, now)
+	p := &u.periods[number%usePeriods]
+	if p.number != number {
+		p.number, p.admitted, p.refused = number, 0, 0
+	}
+	if admitted {
+		p.admitted += n
+	} else {
+		p.refused += n
+	}
+}
+
+func (u *uses) sum(window time.Duration, admitted bool, now time.Time) int {
+	oldest := periodNumber(window, now) - usePeriods + 1
+	total := 0
+	for _, p := range u.periods {
+		switch {
+		case p.number < oldest:
+		case admitted:
+			total += p.admitted
+		default:
+			total += p.refused
+		}
+	}
+	return max(0, total)
+}
+
+// demandMemory is the time constant with which earlier requests lose weight in a rate.
+const demandMemory = time.Second
+
+// rate is a number of requests per second that is averaged exponentially.
+type rate struct {
+	perSecond float64
+	asOf      time.Time
+}
+
+func (r *rate) at(now time.Time) float64 {
+	if r.perSecond == 0 {
+		return 0
+	}
+	return r.perSecond * math.Exp(-max(0, now.Sub(r.asOf).Seconds())/demandMemory.Seconds())
+}
+
+func (r *rate) add(n float64, now time.Time) {
+	*r = rate{perSecond: r.at(now) + n/demandMemory.Seconds(), asOf: now}
+}
