--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -36,7 +36,7 @@
 	// ReportInterval is how often instances exchange usage reports while limited teams send.
 	ReportInterval = 250 * time.Millisecond
 	// UrgentInterval is the least time between two reports to the same instance. Reports are sent before the ReportInterval has
-	// passed if what may be admitted without a report is used up.
+	// passed if half of what may be admitted without a report is used up.
 	UrgentInterval = 50 * time.Millisecond
 	// silenceTimeout is the time without a report after which another instance is assumed to use an equal share.
 	silenceTimeout = time.Second
@@ -53,6 +53,11 @@
 	graceShare = 0.25
 	// expectedLag is how long an admission is usually unknown to the others: a report interval, its way and a margin.
 	expectedLag = 350 * time.Millisecond
+	// calmDemand is the demand, as a multiple of the rate, up to which an instance may use calmPart of what is left without a report. The
+	// demand bounds what all instances admit meanwhile, so the parts need not add up to one, and callers that have just moved to another
+	// instance are not refused there.
+	calmDemand = 1.5
+	calmPart   = 0.5
 	// turnPeriod is how long an instance may use its turn, if there are more instances than may admit a request unreported.
 	turnPeriod = 500 * time.Millisecond
 	// shortestRetryAfter and longestRetryAfter bound how long callers are told to wait.
@@ -136,7 +141,7 @@
 	most := a.mostUnreported(s, unreported, now)
 	a.sequence++
 	s.changedAt = a.sequence
-	if a.registered > 0 && (a.live == 0 || unreported+2 > most) {
+	if a.registered > 0 && (a.live == 0 || 2*(unreported+1) >= most) {
 		a.urgent = a.sequence
 		a.wake()
 	}
@@ -260,8 +265,7 @@
 func (a *Allowances) excess(s *team) (grace, unreported float64) {
 	all := a.config.Overshoot*(s.perSecond*a.config.Window.Seconds()+s.burst) + a.config.Slack
 	usable := usableExcess * all
-	// Each instance may admit one request unreported, so the grace leaves one for each of them.
-	grace = max(0, min(graceShare*all, usable-float64(a.registered+1)))
+	grace = graceShare * all
 	return grace, usable - grace
 }
 
@@ -289,7 +293,8 @@
 // mostUnreported returns how many admissions this instance may have made without a live peer's knowledge.
 //
 // Half of what is left of the bucket and the excess is divided equally, so that a team's callers may come to any instance; the other
-// half by the demand that all live peers know of, so that the shares of all instances add up to no more than all of it.
+// half by the demand that all live peers know of, so that the shares of all instances add up to no more than all of it. Shares are
+// larger while the demand of all instances is near the rate or below it.
 func (a *Allowances) mostUnreported(s *team, unreported float64, now time.Time) float64 {
 	_, excess := a.excess(s)
 	own := s.demand.at(now)
@@ -310,7 +315,11 @@
 		weight = own / total
 	}
 	left := excess*a.liveShare() + max(0, s.level+unreported)
-	most := left * (0.5/members + 0.5*weight)
+	part := 0.5/members + 0.5*weight
+	if total+s.demand.at(now)-own <= calmDemand*s.perSecond {
+		part = max(part, calmPart)
+	}
+	most := left * part
 	switch {
 	case most >= 1:
 		return most
--- a/pollen/pollenallowance/allowance_test.go
+++ b/pollen/pollenallowance/allowance_test.go
@@ -22,7 +22,7 @@
 
 func delays(least, most time.Duration, loss float64) disturb {
 	return func(f *fleet) {
-		f.loss = loss
+		f.loss, f.timeout = loss, max(f.timeout, 2*most)
 		f.delay = func() time.Duration { return least + time.Duration(f.random.Int64N(int64(most-least))) }
 	}
 }
@@ -33,7 +33,9 @@
 		f.at(at, func() { f.instances[n].dead = true })
 		if restartAfter > 0 {
 			f.at(at+restartAfter, func() { f.startInstance(n); f.setTable() })
+			return
 		}
+		f.at(at+3*time.Second, func() { f.instances[n].expired = true; f.setTable() })
 	}
 }
 
--- a/pollen/pollenallowance/fleet_test.go
+++ b/pollen/pollenallowance/fleet_test.go
@@ -15,8 +15,6 @@
 	testWindow    = 5 * time.Second
 	testOvershoot = 0.1
 	testSlack     = 20
-	// testTimeout bounds an exchange of reports, as the loop of package pollenrelay does.
-	testTimeout = time.Second
 )
 
 // fleet is a number of instances that exchange reports over a network in virtual time.
@@ -29,7 +27,9 @@
 	registered int
 	teams      []*pollencatalog.Team
 	// delay returns the time that a message takes, loss is the share of lost ones.
-	delay   func() time.Duration
+	delay func() time.Duration
+	// timeout bounds an exchange of reports, as the loop of package pollenrelay does.
+	timeout time.Duration
 	loss    float64
 	results map[string]*result
 	reports int
@@ -37,10 +37,12 @@
 
 type testInstance struct {
 	*Allowances
-	name   string
-	run    int
-	dead   bool
-	frozen time.Time
+	name string
+	run  int
+	dead bool
+	// expired is set once the lease of a dead instance has expired.
+	expired bool
+	frozen  time.Time
 	// side separates instances that can't reach each other.
 	side int
 }
@@ -75,7 +77,7 @@
 }
 
 func newFleet(instances, registered int, seed uint64, teams ...*pollencatalog.Team) *fleet {
-	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 1)), registered: registered, teams: teams, results: make(map[string]*result)}
+	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 1)), registered: registered, teams: teams, timeout: 500 * time.Millisecond, results: make(map[string]*result)}
 	f.delay = func() time.Duration { return time.Duration(1+f.random.IntN(10)) * time.Millisecond }
 	for n := range instances {
 		f.instances = append(f.instances, &testInstance{name: fmt.Sprintf("entry-%d", n)})
@@ -90,6 +92,9 @@
 func (f *fleet) table() *pollencatalog.Table {
 	config := pollencatalog.TableConfig{Configuration: &pollencatalog.Configuration{Teams: f.teams}}
 	for _, i := range f.instances[:f.registered] {
+		if i.expired {
+			continue
+		}
 		config.Instances = append(config.Instances, pollencatalog.Instance{Name: i.name, Incarnation: fmt.Sprint(i.run)})
 	}
 	return pollencatalog.NewTable(config)
@@ -99,7 +104,7 @@
 func (f *fleet) startInstance(n int) {
 	i := f.instances[n]
 	i.run++
-	i.dead = false
+	i.dead, i.expired = false, false
 	i.Allowances = New(Config{InstanceName: i.name, Incarnation: fmt.Sprint(i.run), Start: f.now, Window: testWindow, Overshoot: testOvershoot, Slack: testSlack})
 	f.at(0, func() { i.SetTable(f.table(), f.now) })
 	f.at(time.Duration(f.random.IntN(50))*time.Millisecond, func() { f.tick(i, i.run) })
@@ -158,7 +163,7 @@
 			i.End(p.name, report, reply, sentAt, f.now)
 		}
 	}
-	f.at(testTimeout, func() { f.deliver(i, nil, func() { end(nil) }) })
+	f.at(f.timeout, func() { f.deliver(i, nil, func() { end(nil) }) })
 	f.deliver(p, i, func() {
 		p.Merge(report, f.now)
 		reply := p.Message(i.name, f.now)
--- a/pollen/pollenallowance/report.go
+++ b/pollen/pollenallowance/report.go
@@ -171,8 +171,9 @@
 // withhold leaves to a silent peer its share of the tokens, as the peer knows them, and keeps one token in any case.
 func (a *Allowances) withhold(s *team, p *peer) {
 	u := p.use(s.name)
-	u.withheld = max(0, s.level+float64(s.admitted-u.acknowledged)) / float64(a.registered+1)
-	s.level = max(s.level-u.withheld, min(1, s.level))
+	left := max(0, s.level+float64(s.admitted-u.acknowledged)) / float64(a.registered+1)
+	u.withheld = max(0, min(left, s.level-1))
+	s.level -= u.withheld
 }
 
 // assumed returns the admissions of a silent peer that were assumed since it was heard last.
