--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -221,7 +221,8 @@
 		a.teams[t.Name] = s
 		for _, p := range a.peers {
 			if p.silent && p.registered {
-				p.use(s.name).withheld = max(0, a.bucket(s)/float64(a.registered+1))
+				u := p.use(s.name)
+				u.withheld, u.withheldSince = max(0, a.bucket(s)/float64(a.registered+1)), now
 			}
 		}
 	}
--- a/pollen/pollenallowance/report.go
+++ b/pollen/pollenallowance/report.go
@@ -67,7 +67,9 @@
 	acknowledged   int64
 	reportedDemand rate
 	// withheld is the number of tokens that were left to the peer when it became silent.
-	withheld float64
+	// From withheldSince on, the tokens are refilled without the peer's share.
+	withheld      float64
+	withheldSince time.Time
 }
 
 func (p *peer) use(team string) *peerUse {
@@ -173,6 +175,7 @@
 	u := p.use(s.name)
 	left := max(0, s.level+float64(s.admitted-u.acknowledged)) / float64(a.registered+1)
 	u.withheld = max(0, min(left, s.level-1))
+	u.withheldSince = s.settledAt
 	s.level -= u.withheld
 }
 
@@ -181,7 +184,8 @@
 	if !p.silent || !p.registered {
 		return 0
 	}
-	return p.use(s.name).withheld + s.perSecond/float64(a.registered+1)*now.Sub(p.silentSince).Seconds()
+	u := p.use(s.name)
+	return u.withheld + s.perSecond/float64(a.registered+1)*now.Sub(u.withheldSince).Seconds()
 }
 
 // Merge adopts another instance's usage report.
@@ -272,7 +276,7 @@
 func (p *peer) restart(incarnation string) {
 	p.incarnation, p.sequence, p.sent, p.startedAt = incarnation, 0, 0, time.Time{}
 	for _, u := range p.uses {
-		*u = peerUse{withheld: u.withheld}
+		*u = peerUse{withheld: u.withheld, withheldSince: u.withheldSince}
 	}
 }
 
