--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -145,7 +145,13 @@
 		a.urgent = a.sequence
 		a.wake()
 	}
-	if s.level >= 1 && (a.live == 0 || unreported+1 <= most) {
+	enough := s.level >= 1 && unreported+1 <= most
+	if a.live == 0 {
+		// No one could be told, so the part of the excess that is meant for admissions without a report is used by the bucket.
+		_, excess := a.excess(s)
+		enough = s.level+excess*float64(min(a.registered, 1))*a.share(now) >= 1
+	}
+	if enough {
 		s.level--
 		s.admitted++
 		a.noteWithin(s, now)
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenreplica"
 	"pollenline.example/pollen/pollenroster"
@@ -52,6 +53,8 @@
 	Rank, Standbys int
 	// Suspects is the instance's evidence against requests; it is empty if the caller has its version.
 	Suspects pollensuspect.Message
+	// Usage is the instance's usage report.
+	Usage pollenallowance.Message
 }
 
 // ServerConfig holds the parameters of a Server.
@@ -60,6 +63,8 @@
 	MaxStaleness time.Duration
 	// Suspects holds the evidence against requests under which servers ended; if it is nil, there is none.
 	Suspects *pollensuspect.Registry
+	// Allowances holds the use of limited teams; if it is nil, there are none.
+	Allowances *pollenallowance.Allowances
 }
 
 // Server holds a replica of the store and serves it to other instances.
@@ -137,6 +142,7 @@
 	methodWatch     = serviceName + ".Watch"
 	methodListKnown = serviceName + ".ListKnown"
 	methodSuspects  = serviceName + ".ShareSuspects"
+	methodUsage     = serviceName + ".ShareUsage"
 	// acceptRetryDelay keeps a failing listener from using the whole processor.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -199,6 +205,15 @@
 	return nil
 }
 
+// ShareUsage adopts the caller's usage report and returns this instance's.
+func (s *service) ShareUsage(request UsageRequest, reply *Reply) error {
+	if a := s.server.config.Allowances; a != nil {
+		a.Merge(request.Usage, time.Now())
+		reply.Usage = a.Message(request.Usage.Instance, time.Now())
+	}
+	return nil
+}
+
 // Watch waits for events after a revision and ranks the follower that calls.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
 	reply.Rank, reply.Standbys = s.server.updateRank(request.Follower, request.Standby)
