Construct the quotas of teams in the instance, with settings and metrics

QuotaWindow, QuotaOvershoot and QuotaSlack come from the platform's bounds where it states them. An instance on its own uses the excess that is meant for unreported admissions: a fleet of two refused 13 of 1,064 requests within the rate after a loss.

--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -149,7 +149,7 @@
 	if a.live == 0 {
 		// No one could be told, so the part of the excess that is meant for admissions without a report is used by the bucket.
 		_, excess := a.excess(s)
-		enough = s.level+excess*float64(min(a.registered, 1))*a.share(now) >= 1
+		enough = s.level+excess*a.share(now) >= 1
 	}
 	if enough {
 		s.level--
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -18,6 +18,7 @@
 
 	"pollenline.example/platform"
 	"pollenline.example/pollen/pollenactor"
+	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenfollow"
@@ -45,6 +46,10 @@
 	ranking     *pollenrank.Ranking
 	coldLimiter *pollenramp.ColdLimiter
 	quotas      *pollenquota.Quotas
+	// allowances holds the use of limited teams, whose requests the ingress asks it to admit; reporter exchanges it with the other
+	// instances.
+	allowances *pollenallowance.Allowances
+	reporter   *pollenrelay.Reporter
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
@@ -101,7 +106,7 @@
 	departedRetention = 15 * time.Second
 	// seedTimeout bounds how long other instances are asked for the keys when the store does not answer at startup.
 	seedTimeout = 500 * time.Millisecond
-	// shareTimeout bounds an exchange of evidence against requests with another instance.
+	// shareTimeout bounds an exchange of evidence against requests, or of the use of teams, with another instance.
 	shareTimeout = 500 * time.Millisecond
 	// peerIdleTimeout is how long connections over which requests are passed on are kept, peerConnections how many there are to
 	// one instance at most.
@@ -163,10 +168,15 @@
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
-	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects})
 	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused)
+	f.allowances = pollenallowance.New(pollenallowance.Config{
+		InstanceName: settings.Name, Incarnation: f.self.Incarnation, Start: time.Now(), Observer: f.metrics,
+		Window: settings.QuotaWindow.Std(), Overshoot: settings.QuotaOvershoot, Slack: settings.QuotaSlack,
+	})
+	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances})
+	f.reporter = pollenrelay.NewReporter(pollenrelay.ReporterConfig{Allowances: f.allowances, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -253,6 +263,7 @@
 	go func() { serveErrors <- f.relay.Serve(peerListener) }()
 	go f.follower.Run(backgroundCtx)
 	go f.sharer.Run(backgroundCtx)
+	go f.reporter.Run(backgroundCtx)
 	go f.runTicker(backgroundCtx)
 	go func() {
 		defer close(unregistered)
@@ -350,6 +361,7 @@
 	f.ranking.Prune(table)
 	f.coldLimiter.Prune(table)
 	f.quotas.Prune(table)
+	f.allowances.SetTable(table, time.Now())
 	f.peers.Prune(table)
 	f.noteTableChanged()
 	if table.Configuration() == nil {
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -47,6 +47,11 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow pollensettings.Duration
+	// Within any QuotaWindow, the requests of a team that all instances admit stay within (rate x window + burst) x
+	// (1 + QuotaOvershoot) + QuotaSlack.
+	QuotaWindow    pollensettings.Duration
+	QuotaOvershoot float64
+	QuotaSlack     float64
 	// StopTimeout is the time within which the process must exit after SIGTERM or SIGINT.
 	StopTimeout pollensettings.Duration
 	// LongestLifetime bounds how long callers may cache an answer of the directory.
@@ -72,6 +77,9 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		RetryWindow:        pollensettings.Duration(10 * time.Second),
+		QuotaWindow:        pollensettings.Duration(5 * time.Second),
+		QuotaOvershoot:     0.1,
+		QuotaSlack:         20,
 		StopTimeout:        pollensettings.Duration(6 * time.Second),
 		LongestLifetime:    pollensettings.Duration(5 * time.Second),
 		CallerTrip:         pollensettings.Duration(20 * time.Millisecond),
@@ -143,7 +151,7 @@
 		field string
 		value pollensettings.Duration
 	}{
-		{"RetryWindow", s.RetryWindow}, {"StopTimeout", s.StopTimeout}, {"LongestLifetime", s.LongestLifetime},
+		{"RetryWindow", s.RetryWindow}, {"QuotaWindow", s.QuotaWindow}, {"StopTimeout", s.StopTimeout}, {"LongestLifetime", s.LongestLifetime},
 		{"CallerTrip", s.CallerTrip}, {"StoreTimeout", s.StoreTimeout}, {"StorePause", s.StorePause},
 		{"ConfigurationDelay", s.ConfigurationDelay}, {"InstanceLease", s.InstanceLease},
 	} {
@@ -163,6 +171,12 @@
 	if s.RetrySlack < 0 {
 		return &pollensettings.FieldError{Field: "RetrySlack", Problem: fmt.Sprintf("%v is below zero", s.RetrySlack)}
 	}
+	if s.QuotaOvershoot < 0 {
+		return &pollensettings.FieldError{Field: "QuotaOvershoot", Problem: fmt.Sprintf("%v is below zero", s.QuotaOvershoot)}
+	}
+	if s.QuotaSlack < 0 {
+		return &pollensettings.FieldError{Field: "QuotaSlack", Problem: fmt.Sprintf("%v is below zero", s.QuotaSlack)}
+	}
 	if s.CollectionPercent <= 0 {
 		return &pollensettings.FieldError{Field: "CollectionPercent", Problem: fmt.Sprintf("%d is not above zero", s.CollectionPercent)}
 	}
--- a/pollenentry/pollenfront/settings_test.go
+++ b/pollenentry/pollenfront/settings_test.go
@@ -19,13 +19,32 @@
 	"listen.http": "10.1.0.9:8104", "listen.readiness": "10.1.0.9:8108", "listen.directory": "10.1.0.9:8100",
 	"listen.admin": "10.1.0.9:8106", "#seeds": "", "bootstrap": "true", ".": "10.2.0.21:8106", ",": "", "/seeds": "", "limits.cpu_share": "0.4", "limits.memory_mb": "284", "platform.address": "10.200.1.7:8102", "bounds.retry_ratio": "0.2", "bounds.retry_slack": "58",
 	"bounds.budget_window_s": "10", "bounds.grace_s": "6", "bounds.ttl_max_s": "5", "bounds.config_apply_ms": "3000",
+	"#bounds.quota_window_s": "", "bounds.quota_window_s": "4", "/bounds.quota_window_s": "",
+	"#bounds.quota_overshoot": "", "bounds.quota_overshoot": "0.2", "/bounds.quota_overshoot": "",
+	"#bounds.quota_slack": "", "bounds.quota_slack": "30", "/bounds.quota_slack": "",
 }
 
-// A template that no longer matches Settings keeps a deployed instance from starting.
+// A template that no longer matches Settings keeps a deployed instance from starting, also where the platform states no quotas.
 func TestDeployedTemplateParses(t *testing.T) {
 	c := qt.New(t)
 	template, err := os.ReadFile("../../deploy/settings.json")
 	c.Assert(err, qt.IsNil)
+	withoutQuotas := regexp.MustCompile(`\{\{#bounds\.quota_.*\{\{/bounds\.quota_[a-z_]*\}\}`).ReplaceAll(template, nil)
+	c.Assert(string(withoutQuotas), qt.Not(qt.Contains), "Quota")
+	settings := renderSettings(c, withoutQuotas)
+	c.Assert(settings.QuotaWindow, qt.Equals, DefaultSettings().QuotaWindow)
+	settings = renderSettings(c, template)
+	c.Assert(settings.QuotaWindow.Std(), qt.Equals, 4*time.Second)
+	c.Assert(settings.QuotaOvershoot, qt.Equals, 0.2)
+	c.Assert(settings.QuotaSlack, qt.Equals, 30.0)
+	c.Assert(settings.ConfigurationDelay.Std(), qt.Equals, 3*time.Second)
+	c.Assert(settings.StopTimeout.Std(), qt.Equals, 6*time.Second)
+	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
+	c.Assert(fmt.Sprint(settings.otherSeeds()), qt.Equals, "[10.2.0.21:8106]")
+}
+
+// renderSettings returns the settings that the platform renders from a template.
+func renderSettings(c *qt.C, template []byte) *Settings {
 	data := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllFunc(template, func(placeholder []byte) []byte {
 		value, ok := placeholderValues[string(placeholder[2:len(placeholder)-2])]
 		c.Assert(ok, qt.IsTrue, qt.Commentf("placeholder %s has no example", placeholder))
@@ -33,10 +52,7 @@
 	})
 	settings := DefaultSettings()
 	c.Assert(pollensettings.Parse(data, settings), qt.IsNil)
-	c.Assert(settings.ConfigurationDelay.Std(), qt.Equals, 3*time.Second)
-	c.Assert(settings.StopTimeout.Std(), qt.Equals, 6*time.Second)
-	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
-	c.Assert(fmt.Sprint(settings.otherSeeds()), qt.Equals, "[10.2.0.21:8106]")
+	return settings
 }
 
 // Load pattern: all instances lose power. Callers wait for their return, so none may wait for another, whatever its size.
@@ -69,6 +85,9 @@
 		{"duration of zero", "{" + valid + `,"StopTimeout":"0s"}`, "field StopTimeout"},
 		{"negative ratio", "{" + valid + `,"RetryRatio":-1}`, "field RetryRatio"},
 		{"negative slack", "{" + valid + `,"RetrySlack":-1}`, "field RetrySlack"},
+		{"quota window of zero", "{" + valid + `,"QuotaWindow":"0s"}`, "field QuotaWindow"},
+		{"negative overshoot", "{" + valid + `,"QuotaOvershoot":-1}`, "field QuotaOvershoot"},
+		{"negative quota slack", "{" + valid + `,"QuotaSlack":-1}`, "field QuotaSlack"},
 		{"seed without a port", "{" + valid + `,"SeedAddresses":["10.2.0.21"]}`, "not an ip:port"},
 		{"empty seed", "{" + valid + `,"SeedAddresses":[""]}`, "field SeedAddresses"},
 		{"negative memory", "{" + valid + `,"MemoryMegabytes":-1}`, "field MemoryMegabytes"},
