--- a/pollen/pollenallowance/report.go
+++ b/pollen/pollenallowance/report.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// review notices peers that have become silent. The caller must hold the mutex.
+// review notices peers that have become silent and teams that are within their limit again. The caller must hold the mutex.
 func (a *Allowances) review(now time.Time) {
 	if now.Before(a.reviewAt) {
 		return
@@ -167,6 +167,7 @@
 			a.withhold(s, p)
 		}
 		a.limitLevel(s)
+		a.noteWithin(s, now)
 	}
 }
 
