--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -83,6 +83,8 @@
 	isolatedSince time.Time
 	// reviewAt is when the next live peer may have become silent.
 	reviewAt time.Time
+	// seenAt is the last call, to notice that the instance was frozen.
+	seenAt time.Time
 	// sequence is increased by each change of this instance's counts.
 	sequence uint64
 	// urgent is the sequence up to which peers should get the counts at once.
@@ -91,12 +93,16 @@
 
 // team is the state of one limited team.
 type team struct {
-	name                 string
-	priority             int
-	perSecond, burst     float64
-	createdAt, settledAt time.Time
+	name             string
+	priority         int
+	perSecond, burst float64
+	// knownSince is when the state was created, or when this instance was seen to have been frozen.
+	knownSince, settledAt time.Time
 	// level is the number of tokens after all known admissions; it is negative after simultaneous admissions.
 	level float64
+	// full is the level of a bucket of which nothing is withheld for silent peers. When these are heard again, the level rises to it at
+	// most: admissions since then were charged, and tokens beyond the bucket's capacity must not make up for them.
+	full float64
 	// admitted is the number of this instance's admissions that were not refunded, changedAt the sequence of its last change.
 	admitted  int64
 	changedAt uint64
@@ -152,7 +158,7 @@
 		enough = s.level+excess*a.share(now) >= 1
 	}
 	if enough {
-		s.level--
+		a.add(s, -1)
 		s.admitted++
 		a.noteWithin(s, now)
 		return 0, true
@@ -179,8 +185,7 @@
 	}
 	a.review(now)
 	a.settle(s, now)
-	s.level++
-	a.limitLevel(s)
+	a.add(s, 1)
 	s.admitted--
 	a.sequence++
 	s.changedAt = a.sequence
@@ -222,8 +227,8 @@
 func (a *Allowances) team(t *pollencatalog.Team, now time.Time) *team {
 	s, ok := a.teams[t.Name]
 	if !ok {
-		s = &team{name: t.Name, perSecond: t.PerSecond, burst: t.Burst, createdAt: now, settledAt: now}
-		s.level = a.capacity(s)
+		s = &team{name: t.Name, perSecond: t.PerSecond, burst: t.Burst, knownSince: now, settledAt: now}
+		s.level, s.full = a.capacity(s), a.bucket(s)
 		a.teams[t.Name] = s
 		for _, p := range a.peers {
 			if p.silent && p.registered {
@@ -249,10 +254,21 @@
 	}
 	s.settledAt = now
 	s.level += s.perSecond * a.share(now) * elapsed.Seconds()
+	s.full += s.perSecond * elapsed.Seconds()
 	a.limitLevel(s)
 }
 
-func (a *Allowances) limitLevel(s *team) { s.level = min(s.level, a.capacity(s)) }
+func (a *Allowances) limitLevel(s *team) {
+	s.full = min(s.full, a.bucket(s))
+	s.level = min(s.level, s.full, a.capacity(s))
+}
+
+// add adds tokens to a team's buckets, or takes them.
+func (a *Allowances) add(s *team, tokens float64) {
+	s.level += tokens
+	s.full += tokens
+	a.limitLevel(s)
+}
 
 // share returns the part of the rate that this instance and its live peers may use. The caller must hold the mutex.
 func (a *Allowances) share(now time.Time) float64 {
--- a/pollen/pollenallowance/allowance_test.go
+++ b/pollen/pollenallowance/allowance_test.go
@@ -99,7 +99,7 @@
 						continue
 					}
 					for _, demand := range demands {
-						for _, load := range []float64{0.7, 4} {
+						for _, load := range []float64{0.7, 12} {
 							team := testTeam(limit.perSecond, limit.burst)
 							f := newFleet(size.instances, size.registered, 1, team)
 							disturbance.disturb(f)
--- a/pollen/pollenallowance/report.go
+++ b/pollen/pollenallowance/report.go
@@ -26,7 +26,7 @@
 	Admitted int64
 	// Demand is the recent number of requests per second, including the refused ones.
 	Demand float64
-	// Level is the number of tokens as far as the sender knows, for instances that have just started.
+	// Level is the number of tokens as far as the sender knows, for instances that have just started or were frozen.
 	Level float64
 }
 
@@ -148,6 +148,10 @@
 
 // review notices peers that have become silent and teams that are within their limit again. The caller must hold the mutex.
 func (a *Allowances) review(now time.Time) {
+	if now.Sub(a.seenAt) >= silenceTimeout {
+		a.noteGap(now)
+	}
+	a.seenAt = now
 	if now.Before(a.reviewAt) {
 		return
 	}
@@ -171,6 +175,19 @@
 	}
 }
 
+// noteGap makes the instance adopt the tokens that its peers know of with their next reports: it was frozen or idle, and can't tell at
+// which times the admissions that they report were refilled.
+func (a *Allowances) noteGap(now time.Time) {
+	for _, s := range a.teams {
+		s.knownSince = now
+	}
+	for _, p := range a.peers {
+		for _, u := range p.uses {
+			u.known = false
+		}
+	}
+}
+
 // withhold leaves to a silent peer its share of the tokens, as the peer knows them, and keeps one token in any case.
 func (a *Allowances) withhold(s *team, p *peer) {
 	u := p.use(s.name)
@@ -210,10 +227,14 @@
 	if m.Sequence < p.sequence {
 		return
 	}
-	p.sequence = m.Sequence
+	// A message that was read long after it was sent, as an instance does that was frozen, is no sign of contact.
 	late := p.lateness(m.Age, now)
+	if late >= silenceTimeout {
+		return
+	}
+	p.sequence = m.Sequence
 	credit := make(map[string]float64)
-	if p.silent && late < silenceTimeout {
+	if p.silent {
 		for name, s := range a.teams {
 			a.settle(s, now)
 			if assumed := a.assumed(s, p, now); assumed > 0 {
@@ -221,10 +242,7 @@
 			}
 		}
 	}
-	// A message that was read long after it was sent, as an instance does that was frozen, is no sign of contact.
-	if heardAt := now.Add(-late); late < silenceTimeout {
-		p.silent, p.heardAt = false, heardAt
-	}
+	p.silent, p.heardAt = false, now.Add(-late)
 	a.count(now)
 	for _, used := range m.Uses[:min(len(m.Uses), maxUses)] {
 		if s, ok := a.teams[used.Team]; ok {
@@ -246,12 +264,12 @@
 		a.noteDemand(now)
 		u.demand = rate{perSecond: used.Demand, asOf: now}
 	}
-	if !u.known && startedAt.Before(s.createdAt) {
+	if !u.known && startedAt.Before(s.knownSince) {
 		// The count includes admissions from before this instance knew the team; the peer's tokens show what is left.
-		s.level = min(s.level, used.Level)
+		s.level, s.full = min(s.level, used.Level), min(s.full, used.Level)
 	} else {
 		admitted := used.Admitted - u.admitted
-		s.level -= float64(admitted)
+		a.add(s, -float64(admitted))
 		s.uses.add(a.config.Window, true, int(admitted), now)
 	}
 	u.known, u.admitted = true, used.Admitted
@@ -299,7 +317,7 @@
 			break
 		}
 		a.settle(s, now)
-		m.Uses = append(m.Uses, Use{Team: s.name, Admitted: s.admitted, Demand: s.demand.at(now), Level: s.level / a.liveShare()})
+		m.Uses = append(m.Uses, Use{Team: s.name, Admitted: s.admitted, Demand: s.demand.at(now), Level: s.full})
 	}
 	return m
 }
