--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -18,6 +18,7 @@
 
 	"pollenline.example/platform"
 	"pollenline.example/pollen/pollenactor"
+	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenfollow"
@@ -47,6 +48,10 @@
 	coldLimiter *pollenramp.ColdLimiter
 	quotas      *pollenquota.Quotas
 	gate        *pollengate.Gate
+	// allowances holds the use of limited teams, whose requests the ingress asks it to admit; reporter exchanges it with the other
+	// instances.
+	allowances *pollenallowance.Allowances
+	reporter   *pollenrelay.Reporter
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
@@ -103,7 +108,7 @@
 	departedRetention = 15 * time.Second
 	// seedTimeout bounds how long other instances are asked for the keys when the store does not answer at startup.
 	seedTimeout = 500 * time.Millisecond
-	// shareTimeout bounds an exchange of evidence against requests with another instance.
+	// shareTimeout bounds an exchange of evidence against requests, or of the use of teams, with another instance.
 	shareTimeout = 500 * time.Millisecond
 	// peerIdleTimeout is how long connections over which requests are passed on are kept, peerConnections how many there are to
 	// one instance at most.
@@ -168,7 +173,6 @@
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
-	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects})
 	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.gate = pollengate.New(pollengate.Config{
@@ -176,6 +180,12 @@
 		Limits: f.quotas, ColdLimits: f.coldLimiter, Health: f.ranking,
 	})
 	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) })
+	f.allowances = pollenallowance.New(pollenallowance.Config{
+		InstanceName: settings.Name, Incarnation: f.self.Incarnation, Start: time.Now(), Observer: f.metrics,
+		Window: settings.QuotaWindow.Std(), Overshoot: settings.QuotaOvershoot, Slack: settings.QuotaSlack,
+	})
+	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances})
+	f.reporter = pollenrelay.NewReporter(pollenrelay.ReporterConfig{Allowances: f.allowances, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -237,7 +247,7 @@
 		Splitter:              &pollenforward.Splitter{},
 	})
 	return pollenplatform.NewIngress(pollenplatform.IngressConfig{
-		Forwarder: forwarder, Observer: f.metrics, Memory: f.memory, Table: f.view.Table, Draining: f.draining.Load, ConfigurationStale: f.viewStale.Load,
+		Forwarder: forwarder, Observer: f.metrics, Memory: f.memory, Table: f.view.Table, Quota: f.allowances, Draining: f.draining.Load, ConfigurationStale: f.viewStale.Load,
 	})
 }
 
@@ -264,6 +274,7 @@
 	go func() { serveErrors <- f.relay.Serve(peerListener) }()
 	go f.follower.Run(backgroundCtx)
 	go f.sharer.Run(backgroundCtx)
+	go f.reporter.Run(backgroundCtx)
 	go f.runTicker(backgroundCtx)
 	go func() {
 		defer close(unregistered)
@@ -363,6 +374,7 @@
 	f.coldLimiter.Prune(table)
 	f.quotas.Prune(table)
 	f.gate.Prune(table, time.Now())
+	f.allowances.SetTable(table, time.Now())
 	f.peers.Prune(table)
 	f.noteTableChanged()
 	if table.Configuration() == nil {
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -16,9 +16,10 @@
 	registry *prometheus.Registry
 	latency  *prometheus.HistogramVec
 	requests *prometheus.CounterVec
-	// teamLatency and teamRequests have the labels that teamLabels bounds; teamUsage counts what is served for each team.
+	// teamLatency, teamRequests and quotas have the labels that teamLabels bounds; teamUsage counts what is served for each team.
 	teamLatency  *prometheus.HistogramVec
 	teamRequests *prometheus.CounterVec
+	quotas       *prometheus.CounterVec
 	teamLabels   pollenteam.Labels
 	teamUsage    *pollenteam.Usage
 }
@@ -45,9 +46,12 @@
 		teamRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollen_team_requests_total", Help: "Callers' requests by team and status.",
 		}, []string{"team", "status"}),
+		quotas: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pollen_quota_requests_total", Help: "Requests of teams with a limit that this instance admitted or refused.",
+		}, []string{"team", "result"}),
 		teamUsage: pollenteam.NewUsage(teamUsageWindow),
 	}
-	m.registry.MustRegister(m.latency, m.requests, m.teamLatency, m.teamRequests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	m.registry.MustRegister(m.latency, m.requests, m.teamLatency, m.teamRequests, m.quotas, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
 	}, func() float64 { return float64(limitedServers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_refused_contents", Help: "Contents of which requests are refused because servers end under them.",
@@ -91,3 +95,12 @@
 		m.teamUsage.Record(team, time.Now())
 	}
 }
+
+// ObserveQuota records a decision about a request of a limited team. It implements pollenallowance.Observer.
+func (m *metrics) ObserveQuota(team string, admitted bool) {
+	result := "refused"
+	if admitted {
+		result = "admitted"
+	}
+	m.quotas.WithLabelValues(m.teamLabels.Label(team), result).Inc()
+}
