Share starts fairly by team and refuse hopeless requests on arrival

Cause: requests of one priority started in order of arrival, so that a team was served by what it sent. First tries waited a quarter of their objective even when the queue ahead of them could not start by then. Each waiting retry tried the whole queue every 10 ms.

Change: start-time fair queueing by team within a priority, the team's priority before the route's; a team that asks for more than its max-min fair share takes free slots only. Without teams the order is as before. A first try that cannot start by its deadline at the measured pace of starts is refused on arrival. The queue is tried once in 10 ms for waiting retries together.

--- a/pollen/pollenadmit/queue.go
+++ b/pollen/pollenadmit/queue.go
@@ -12,6 +12,9 @@
 type Request struct {
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
+	// Team names the team that sent the request; empty if there are no teams. Requests of one priority share the capacity fairly
+	// by team.
+	Team string
 	// Arrived is when the request was received.
 	Arrived time.Time
 	// CapacityKey identifies the set of servers that the request needs. A request without capacity blocks those behind
@@ -37,6 +40,12 @@
 	length  atomic.Int32
 	// blockedAt is when a first try of each capacity key lacked capacity last.
 	blockedAt map[string]time.Time
+	// shares holds the teams' shares of the starts by priority.
+	shares map[int]*fairShares
+	// paces holds how fast the waiting requests of each capacity key start.
+	paces map[string]*pace
+	// triedAt is when waiting requests were tried last.
+	triedAt time.Time
 }
 
 // entry holds a waiting request; started is closed once the request has started.
@@ -69,12 +78,16 @@
 	index, _ := slices.BinarySearchFunc(q.waiting, e, compareEntries)
 	q.waiting = slices.Insert(q.waiting, index, e)
 	q.startReady(now)
+	hopeless := q.isHopeless(e, now)
 	q.mu.Unlock()
 	select {
 	case <-e.started:
 		return true
 	default:
 	}
+	if hopeless {
+		return !q.remove(e)
+	}
 	timer := time.NewTimer(request.Deadline.Sub(now))
 	defer timer.Stop()
 	var retry <-chan time.Time
@@ -89,7 +102,7 @@
 		case <-e.started:
 			return true
 		case now := <-retry:
-			q.Dispatch(now)
+			q.dispatchIdle(now)
 			continue
 		case <-ctx.Done():
 		case <-timer.C:
@@ -108,6 +121,48 @@
 	q.startReady(now)
 }
 
+// dispatchIdle is Dispatch if no request was tried within callerRetryInterval.
+func (q *Queue) dispatchIdle(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.triedAt) >= callerRetryInterval {
+		q.startReady(now)
+	}
+}
+
+// isHopeless reports whether a request that has just begun to wait will not start by its deadline at the pace at which those with
+// its capacity key start, if it has to wait for all of its team that are ahead. The caller must hold the mutex.
+//
+// Load pattern: callers send three times what the servers can run. A caller that is refused at once has more time left to
+// try again. Callers' retries wait for a burst to end, and the pace during the burst says nothing about that: 13 of 510 instead of
+// none were refused in TestServesCallersThatRetryAfterBurst.
+func (q *Queue) isHopeless(e *entry, now time.Time) bool {
+	key, ahead, alone := e.request.CapacityKey, 0, true
+	behind := false
+	for _, other := range q.waiting {
+		switch {
+		case other == e:
+			behind = true
+		case other.request.CapacityKey != key:
+		default:
+			alone = false
+			if !behind && other.request.Team == e.request.Team {
+				ahead++
+			}
+		}
+	}
+	if q.paces == nil {
+		q.paces = make(map[string]*pace)
+	}
+	if q.paces[key] == nil {
+		q.paces[key] = &pace{}
+	}
+	if alone {
+		q.paces[key].recordWait(now)
+	}
+	return !e.request.CallerRetry && q.paces[key].expectedWait(ahead, now) > e.request.Deadline.Sub(now)
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return int(q.length.Load()) }
 
@@ -115,7 +170,7 @@
 // behind it that have the same capacity key, and no others.
 func (q *Queue) startReady(now time.Time) {
 	var blocked []string
-	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool {
+	ready := func(e *entry) bool {
 		if slices.Contains(blocked, e.request.CapacityKey) {
 			return false
 		}
@@ -133,11 +188,40 @@
 			return false
 		}
 		close(e.started)
+		if p := q.paces[e.request.CapacityKey]; p != nil && e.request.Arrived.Before(now) {
+			p.recordStart(now)
+		}
+		if e.request.Team != "" {
+			q.recordStart(e.request)
+		}
 		return true
-	})
+	}
+	q.triedAt = now
+	started := make(map[*entry]bool)
+	for _, e := range startOrder(q.waiting, q.shares) {
+		if ready(e) {
+			started[e] = true
+		}
+	}
+	if len(started) > 0 {
+		q.waiting = slices.DeleteFunc(q.waiting, func(e *entry) bool { return started[e] })
+	}
 	q.length.Store(int32(len(q.waiting)))
 }
 
+// recordStart counts a start for the share of its team.
+func (q *Queue) recordStart(request Request) {
+	if q.shares == nil {
+		q.shares = make(map[int]*fairShares)
+	}
+	shares, ok := q.shares[request.Priority]
+	if !ok {
+		shares = &fairShares{}
+		q.shares[request.Priority] = shares
+	}
+	shares.recordStart(request.Team)
+}
+
 // remove removes a request and reports whether it was still waiting.
 func (q *Queue) remove(e *entry) bool {
 	q.mu.Lock()
--- a/pollen/pollenadmit/queue_test.go
+++ b/pollen/pollenadmit/queue_test.go
@@ -108,3 +108,80 @@
 		c.Assert(fmt.Sprint(full.started, free.started), qt.Equals, "[] [b]")
 	})
 }
+
+// Load pattern: one team has many requests waiting when others send single ones. Guards against teams that are served by what
+// they send, and against a team's priority that does not count.
+func TestTeamsShareStartsFairly(t *testing.T) {
+	type arrival struct {
+		name, team string
+		priority   int
+	}
+	tests := []struct {
+		name     string
+		arrivals []arrival
+		want     []string
+	}{
+		{"hot team first", []arrival{{"h1", "hot", 1}, {"h2", "hot", 1}, {"h3", "hot", 1}, {"a", "a", 1}, {"b", "b", 1}}, []string{"h1", "a", "b", "h2", "h3"}},
+		{"by priority", []arrival{{"h1", "hot", 1}, {"h2", "hot", 1}, {"u", "u", 0}, {"a", "a", 1}}, []string{"u", "h1", "a", "h2"}},
+		{"one team", []arrival{{"h1", "hot", 1}, {"h2", "hot", 1}}, []string{"h1", "h2"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				queue, servers := &Queue{}, &limitedServers{}
+				var inFlight sync.WaitGroup
+				for _, a := range test.arrivals {
+					inFlight.Go(func() {
+						now := time.Now()
+						queue.Admit(t.Context(), Request{Priority: a.priority, Team: a.team, Arrived: now, Deadline: now.Add(time.Second), TryStart: servers.tryStart(a.name)})
+					})
+					synctest.Wait()
+					time.Sleep(time.Millisecond)
+				}
+				for range test.arrivals {
+					servers.capacity = 1
+					queue.Dispatch(time.Now())
+				}
+				inFlight.Wait()
+				qt.Check(t, servers.started, qt.DeepEquals, test.want)
+			})
+		})
+	}
+}
+
+// Load pattern: servers start one request in 20 ms, and callers send many more. A request that cannot start by its deadline must be
+// refused on arrival instead of being held until then.
+func TestRefusesHopelessOnArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		queue, servers := &Queue{}, &limitedServers{}
+		admit := func() (bool, time.Duration) {
+			start := time.Now()
+			ok := queue.Admit(t.Context(), Request{Arrived: start, Deadline: start.Add(50 * time.Millisecond), TryStart: servers.tryStart("r")})
+			return ok, time.Since(start)
+		}
+		start := func() {
+			time.Sleep(20 * time.Millisecond)
+			servers.capacity = 1
+			queue.Dispatch(time.Now())
+		}
+		for range 2 {
+			go admit()
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+		}
+		start()
+		start()
+		for range 3 {
+			go admit()
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+		}
+		c.Assert(queue.Len(), qt.Equals, 3)
+		ok, took := admit()
+		c.Assert(ok, qt.IsFalse)
+		c.Assert(took, qt.Equals, time.Duration(0))
+		time.Sleep(time.Second)
+		c.Assert(queue.Len(), qt.Equals, 0)
+	})
+}
--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -48,10 +48,17 @@
 			Cause: "servers have ended under requests of this content, and no service has one to spare", RetryAfter: RetryAfterOutage(timeLeft),
 		}
 	}
-	started := c.forwarder.queue.Admit(ctx, pollenadmit.Request{
+	waiting := pollenadmit.Request{
 		Priority: c.route.Priority, CapacityKey: c.route.Name, Arrived: c.request.Received, TryStart: c.tryStart,
 		Deadline: admissionDeadline, CallerRetry: c.callerRetry,
-	})
+	}
+	if team := c.request.Team; team != nil {
+		waiting.Priority, waiting.Team = team.Priority, team.Name
+		if !c.callerRetry {
+			c.forwarder.demand.RecordArrival(team.Name, now)
+		}
+	}
+	started := c.forwarder.queue.Admit(ctx, waiting)
 	c.stats.CallerRetry, c.stats.QueueTime = c.callerRetry, time.Since(now)
 	c.hedgeDelay = c.schedule.HedgeAt.Sub(c.request.Received)
 	// The hedge delay starts when the request leaves the queue.
@@ -81,10 +88,15 @@
 		return true
 	}
 	c.otherSenders = c.countOtherSenders(now)
+	team := c.request.Team
+	c.yields = c.callerRetry || (team != nil && c.forwarder.demand.ExceedsShare(team.Name, now))
 	chosen, ok := c.chooseFirst(now)
 	if !ok {
 		return false
 	}
+	if team != nil && !c.callerRetry {
+		c.forwarder.demand.RecordStart(now)
+	}
 	for _, i := range c.sendOrder() {
 		c.forwarder.config.Budget.CountRequest(c.subrequests[i].service, now)
 		c.sendFirst(i, chosen[i], now)
@@ -110,7 +122,7 @@
 		}
 	}
 	needed := c.requiredAtStart()
-	if c.callerRetry {
+	if c.yields {
 		needed = c.requiredAnswers()
 	}
 	if c.caution == pollensuspect.SendSuspect {
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -49,6 +49,8 @@
 	otherSenders float64
 	// startOrder holds the indexes of the subrequests, those first that had no server with capacity when the call was last tried.
 	startOrder []int
+	// yields is set if the call takes only slots that are free, because it is a caller's retry or its team exceeds its share.
+	yields bool
 	// callerRetry is set if the caller repeats a request that was refused.
 	callerRetry bool
 	// mayHaveRun is set once a server may have run the request.
--- a/pollen/pollenforward/collapse_test.go
+++ b/pollen/pollenforward/collapse_test.go
@@ -150,6 +150,7 @@
 }
 
 const (
+	// collapseShards is the usual number of shards: fewer than in the deployments, so that the tests stay short.
 	collapseShards    = 30
 	collapseReplicas  = 3
 	collapseSlots     = 2
@@ -160,18 +161,24 @@
 type collapseConfig struct {
 	seed                   uint64
 	silentShare, slowShare float64
+	// shards is the number of shards; zero means collapseShards.
+	shards int
 }
 
 func newCollapseFleet(config collapseConfig) *collapseFleet {
 	f := &collapseFleet{servers: make(map[string]*faultyServer), random: rand.New(rand.NewPCG(config.seed, 1)), causes: make(map[string]int), teams: make(map[string]*collapseOutcome)}
+	shards := config.shards
+	if shards == 0 {
+		shards = collapseShards
+	}
 	f.kinds = []collapseKind{
-		{share: 2.0 / 3, work: 15 * time.Millisecond, route: collapseRoute("usual", 1, 200*time.Millisecond, 2*time.Second, 0.95)},
-		{share: 1.0 / 3, work: 5 * time.Millisecond, route: collapseRoute("urgent", 0, 80*time.Millisecond, time.Second, 0.85)},
+		{share: 2.0 / 3, work: 15 * time.Millisecond, route: collapseRoute(shards, "usual", 1, 200*time.Millisecond, 2*time.Second, 0.95)},
+		{share: 1.0 / 3, work: 5 * time.Millisecond, route: collapseRoute(shards, "urgent", 0, 80*time.Millisecond, time.Second, 0.85)},
 	}
 	f.outcomes = make([]collapseOutcome, len(f.kinds))
 	table := pollencatalog.TableConfig{Configuration: &pollencatalog.Configuration{Version: 1, Services: map[string]pollencatalog.Service{}}}
 	var all []*faultyServer
-	for i := range collapseShards {
+	for i := range shards {
 		table.Configuration.Services[service(i)] = pollencatalog.Service{Name: service(i), Connections: 300}
 		for j := range collapseReplicas {
 			id := fmt.Sprintf("%d-%d", i, j)
@@ -208,8 +215,8 @@
 	return f
 }
 
-func collapseRoute(name string, priority int, objective, timeout time.Duration, coverage float64) *pollencatalog.Route {
-	r := shardedRoute(collapseShards)
+func collapseRoute(shards int, name string, priority int, objective, timeout time.Duration, coverage float64) *pollencatalog.Route {
+	r := shardedRoute(shards)
 	r.Name, r.Priority, r.Objective, r.Timeout, r.MinimumCoverage = name, priority, objective, timeout, coverage
 	return r
 }
@@ -221,7 +228,8 @@
 	for _, kind := range f.kinds {
 		mean += kind.share * kind.work.Seconds()
 	}
-	slots := make([]float64, collapseShards)
+	route := f.kinds[0].route
+	slots := make([]float64, len(route.Shards))
 	for i := range slots {
 		for j := range collapseReplicas {
 			switch s := f.servers[fmt.Sprintf("%d-%d", i, j)]; {
@@ -234,7 +242,7 @@
 		}
 	}
 	slices.Sort(slots)
-	missing := collapseShards - int(math.Ceil(f.kinds[0].route.MinimumCoverage*collapseShards))
+	missing := len(slots) - int(math.Ceil(route.MinimumCoverage*float64(len(slots))))
 	return slots[missing] / mean
 }
 
@@ -341,7 +349,7 @@
 			o.failed++
 		}
 		// Shards of the minimum coverage that no server was asked for.
-		untried := stats.Sends-stats.Hedges-stats.Retries < int(math.Ceil(route.MinimumCoverage*collapseShards))
+		untried := stats.Sends-stats.Hedges-stats.Retries < int(math.Ceil(route.MinimumCoverage*float64(len(route.Shards))))
 		if err != nil && untried && took >= route.Timeout*9/10 {
 			o.heldUntried++
 		}
@@ -415,3 +423,42 @@
 		c.Check(10*run.work >= 9*bestWork, qt.IsTrue, qt.Commentf("load %v: %v of work in time, best %v", run.load, run.work, bestWork))
 	}
 }
+
+// Load pattern: one of 73 teams sends one and a half times what the slots carry, the others their usual load, a few of them more than
+// most. Guards against a queue that serves teams by what they send: the other teams must get their share, and all about the same part.
+func TestHotTeamTakesNothingFromOthers(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newCollapseFleet(collapseConfig{seed: 2, shards: 6})
+		f.kinds = f.kinds[:1]
+		f.kinds[0].share = 1
+		hot := &pollencatalog.Team{Name: "hot", Priority: 1}
+		teams := make([]*pollencatalog.Team, 72)
+		for i := range teams {
+			teams[i] = &pollencatalog.Team{Name: fmt.Sprintf("team-%d", i), Priority: 1}
+		}
+		const others = 0.4
+		f.send(t, 3, collapseLoad{perSecond: (1.5 + others) * f.capacity(), duration: 15 * time.Second, repeats: 1, team: func(random *rand.Rand) *pollencatalog.Team {
+			if random.Float64() < 1.5/(1.5+others) {
+				return hot
+			}
+			return teams[random.IntN(len(teams))]
+		}})
+		served := make([]float64, 0, len(teams))
+		mean := 0.0
+		for _, team := range teams {
+			o := f.teams[team.Name]
+			served = append(served, float64(o.inTime+o.late)/float64(o.sent))
+			mean += served[len(served)-1] / float64(len(teams))
+		}
+		slices.Sort(served)
+		worst := 0.0
+		for _, s := range served[:7] {
+			worst += s / 7
+		}
+		counts := qt.Commentf("worst tenth of the teams %.3f, mean %.3f, hot %+v, all %+v", worst, mean, f.teams["hot"], f.outcomes[0])
+		t.Log(counts)
+		c.Check(worst >= 0.9*mean, qt.IsTrue, counts)
+		c.Check(mean >= 0.9, qt.IsTrue, counts)
+	})
+}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -54,6 +54,8 @@
 	// backlog counts the pending subrequests of started calls, active the routes that were called lately.
 	backlog backlog
 	active  activeRoutes
+	// demand tells which teams ask for more than a fair share.
+	demand  pollenadmit.Demand
 	crashes crashDetector
 	passing passState
 }
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -133,9 +133,9 @@
 	return nil, false
 }
 
-// callerRetryWait is how long a caller's retry may wait for a slot: first tries at other instances meet the queue that it leaves
-// behind, so it takes slots that are free as far as is known.
-const callerRetryWait = time.Nanosecond
+// yieldingWait is how long a call that yields may wait for a slot: other calls, also at other instances, meet the queue that it
+// leaves behind, so it takes slots that are free as far as is known.
+const yieldingWait = time.Nanosecond
 
 // latencyBound returns how long the call's next attempts may wait at their servers. The time that the call has waited itself
 // counts, but a caller's retry may be answered after the objective.
@@ -144,9 +144,10 @@
 		Limit: c.schedule.PartialReplyAt.Sub(c.request.Received), Others: c.otherSenders,
 		MaxWait: c.forwarder.active.maxWait(c.route.Name, c.subrequests[0].service, now),
 	}
-	if c.callerRetry {
-		bound.MaxWait = callerRetryWait
-	} else {
+	if c.yields {
+		bound.MaxWait = yieldingWait
+	}
+	if !c.callerRetry {
 		bound.Limit = c.schedule.PartialReplyAt.Sub(now)
 	}
 	return bound
