--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -47,6 +47,10 @@
 	hedgesHeld bool
 	// otherSenders is the number of other instances whose load counts when a server's capacity is estimated.
 	otherSenders float64
+	// startOrder holds the indexes of the subrequests, those first that had no server with capacity when the call was last tried.
+	startOrder []int
+	// yields is set if the call takes only slots that are free, because it is a caller's retry or its team exceeds its share.
+	yields bool
 	// callerRetry is set if the caller repeats a request that was refused.
 	callerRetry bool
 	// leavingServers lists the IDs of leaving servers that answered.
@@ -78,6 +82,7 @@
 		c.subrequests[i].sendCtx, c.subrequests[i].cancelUnsent = context.WithCancel(exchangeCtx)
 		defer c.subrequests[i].cancelUnsent()
 	}
+	defer c.dropPending()
 	if err := c.decideCaution(time.Now()); err != nil {
 		return nil, err
 	}
@@ -236,6 +241,7 @@
 		if s.answer == nil {
 			s.answer = r.answer
 			s.cancelUnsent()
+			c.setPending(s, false)
 			c.covered++
 			c.stats.Covered = c.covered
 		}
