Decide on rollouts by version from evidence and time

Servers of a new version got traffic as soon as they registered. Package pollenrollout decides, for one service, from the evidence of all instances to the next state and share (chart rollout.json), chooses servers by version on each instance, and stops there by itself on bad evidence. Orders and states are decoded into the table; a step is stored with the operator's status in one conditional transaction. Instances report to the driver over net/rpc.

The forwarder removes servers by version in admittedServers; without a router nothing changes.

--- /dev/null
+++ b/pollen/pollencatalog/rollout.go
@@ -0,0 +1,100 @@
+package pollencatalog
+
+import (
+	"slices"
+	"time"
+)
+
+// RolloutOrder is an operator's order to move the traffic of a service to servers of another version.
+type RolloutOrder struct {
+	Service string
+	// Target is the version that is to get the traffic.
+	Target string
+	// Duration is the time within which the order must be completed or rolled back.
+	Duration time.Duration
+	// Revision is the store revision at which the order was written.
+	Revision uint64
+	// Problem says why the order can't be carried out; empty if it can.
+	Problem string
+}
+
+// RolloutState is the state of the rollout of a service. It is stored as JSON under the names of its fields.
+type RolloutState struct {
+	Service string
+	// OrderRevision is the revision of the order that the state belongs to.
+	OrderRevision uint64
+	Target        string
+	// Former lists the versions that had the traffic before the order.
+	Former []string
+	// State is a state of the chart "rollout".
+	State string
+	// Share is the share of first requests that go to the target.
+	Share float64
+	// Step rises with each write of the state under the same order.
+	Step     int
+	Start    time.Time
+	Deadline time.Time
+	// Entered is when the state was entered, or the share last set.
+	Entered time.Time
+	// Exposure is the number of requests that were sent to the target, Total that of all requests to the service.
+	Exposure, Total uint64
+	// TargetEvidence and FormerEvidence are the evidence on which the last step was decided.
+	TargetEvidence, FormerEvidence RolloutEvidence
+	// Cause says why the state was entered.
+	Cause string
+	// Problem says why the order could not be carried out; empty if it could.
+	Problem string
+	// Revision is the store revision of the state's key; it is not part of the stored value.
+	Revision uint64 `json:"-"`
+}
+
+// RolloutEvidence sums up what the servers of a version did.
+type RolloutEvidence struct {
+	Requests, Failures, Slow uint64
+}
+
+// Rollout holds what the store says of the rollout of one service.
+type Rollout struct {
+	// Order is nil if there is none, State if none was stored.
+	Order *RolloutOrder
+	State *RolloutState
+}
+
+// Rollout returns what the store says of the rollout of a service.
+func (t *Table) Rollout(service string) Rollout { return t.rollouts[service] }
+
+// RolloutServices returns the services for which there is an order or a state of a rollout.
+func (t *Table) RolloutServices() []string { return t.rolloutServices }
+
+// ServersOf returns all servers of a service, ordered by ID; the caller must not change the slice.
+func (t *Table) ServersOf(service string) []*Server { return t.servers[service] }
+
+// Services returns the names of the services that have servers, in no particular order.
+func (t *Table) Services() []string {
+	services := make([]string, 0, len(t.servers))
+	for service := range t.servers {
+		services = append(services, service)
+	}
+	return services
+}
+
+// indexRollouts returns the rollouts by service, and the services in order.
+func indexRollouts(orders []*RolloutOrder, states []*RolloutState) (map[string]Rollout, []string) {
+	rollouts := make(map[string]Rollout, max(len(orders), len(states)))
+	for _, o := range orders {
+		r := rollouts[o.Service]
+		r.Order = o
+		rollouts[o.Service] = r
+	}
+	for _, s := range states {
+		r := rollouts[s.Service]
+		r.State = s
+		rollouts[s.Service] = r
+	}
+	services := make([]string, 0, len(rollouts))
+	for service := range rollouts {
+		services = append(services, service)
+	}
+	slices.Sort(services)
+	return rollouts, services
+}
--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -19,6 +19,8 @@
 	instances         []Instance
 	senders           []Instance
 	departedInstances int
+	rollouts          map[string]Rollout
+	rolloutServices   []string
 }
 
 // TableConfig holds the content of a Table. The table refers to it, so it must not change afterwards.
@@ -31,6 +33,8 @@
 	Instances      []Instance
 	// DepartedInstances is the number of instances that left so recently that they may still use their share of limits.
 	DepartedInstances int
+	RolloutOrders     []*RolloutOrder
+	RolloutStates     []*RolloutState
 }
 
 // NewTable returns a table with the given content.
@@ -46,6 +50,9 @@
 	if len(t.senders) == 0 {
 		t.senders = t.instances
 	}
+	if len(config.RolloutOrders)+len(config.RolloutStates) > 0 {
+		t.rollouts, t.rolloutServices = indexRollouts(config.RolloutOrders, config.RolloutStates)
+	}
 	for _, s := range config.Servers {
 		t.servers[s.Service] = append(t.servers[s.Service], s)
 	}
--- a/pollen/pollenchart/chart.go
+++ b/pollen/pollenchart/chart.go
@@ -137,6 +137,14 @@
 	return c.traits[traitKey{state, trait}]
 }
 
+// Next returns the state that follows a state on an event; it is the same state if the chart has no such transition.
+func (c *Chart) Next(state StateName, event Event) StateName {
+	if to, ok := c.transitions[transitionKey{state, event}]; ok {
+		return to
+	}
+	return state
+}
+
 //go:embed charts/*.json
 var charts embed.FS
 
--- a/pollen/pollenfakestore/store.go
+++ b/pollen/pollenfakestore/store.go
@@ -162,6 +162,36 @@
 	return s.revision, s.lostAnswerError("Put")
 }
 
+// Commit writes and removes keys in one step if all conditions hold, and returns the new revision. If they do not hold, it returns a
+// *pollenstore.ConditionError.
+func (s *Store) Commit(ctx context.Context, transaction pollenstore.Transaction) (uint64, error) {
+	if err := s.beginCall(ctx, "Commit"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failure, failed := &pollenstore.ConditionError{}, false
+	for _, c := range transaction.Conditions {
+		entry, ok := s.entries[c.Key]
+		if ok {
+			failure.Current = append(failure.Current, entry)
+		}
+		failed = failed || entry.Version != c.Version
+	}
+	if failed {
+		return 0, failure
+	}
+	for _, put := range transaction.Puts {
+		if err := s.putLocked(put.Key, put.Value, put.Lease); err != nil {
+			return 0, err
+		}
+	}
+	for _, key := range transaction.Remove {
+		s.deleteLocked(key)
+	}
+	return s.revision, s.lostAnswerError("Commit")
+}
+
 // Delete deletes a key if it exists.
 func (s *Store) Delete(ctx context.Context, key string) error {
 	if err := s.beginCall(ctx, "Delete"); err != nil {
--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -104,7 +105,7 @@
 	table := c.forwarder.config.Table()
 	var servers []*pollencatalog.Server
 	for i := range c.subrequests {
-		servers = table.AppendEligible(servers, c.subrequests[i].service)
+		servers = append(servers, c.admittedServers(table, c.subrequests[i].service, pollenrollout.Any, now)...)
 	}
 	return c.forwarder.config.Ranking.OtherSenders(servers, len(table.Senders()), now)
 }
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -12,6 +12,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -145,11 +146,12 @@
 // capacity.
 //
 // It ends the test of the request's content that isTest says has begun.
-func (c *call) exchange(i, attemptIndex int, observation *pollenrank.Observation, request ServerRequest, isTest bool) {
+func (c *call) exchange(i, attemptIndex int, observation *pollenrank.Observation, rollout *pollenrollout.Attempt, request ServerRequest, isTest bool) {
 	answer, err := c.forwarder.config.Exchanger.Exchange(c.exchangeCtx, request)
 	now := time.Now()
 	crashed := false
 	observation.Finish(outcome(request.SendContext, answer, err), now)
+	rollout.Finish(rolloutResult(c.exchangeCtx, answer, err), request.SendGuard.sinceClaim(now), now)
 	c.forwarder.config.Reach.End(request.Server, reachOutcome(err), now)
 	switch {
 	case err == nil:
@@ -168,6 +170,24 @@
 	c.results <- result{subrequest: i, attempt: attemptIndex, answer: answer, err: err, crashed: crashed}
 }
 
+// rolloutResult classifies the result of an attempt for the comparison of versions. An attempt that is no longer awaited counts as an
+// answer that came when it was given up.
+func rolloutResult(ctx context.Context, answer *Answer, err error) pollenrollout.Result {
+	var notRun *NotRunError
+	var unsent *UnsentError
+	switch {
+	case errors.As(err, &unsent):
+		return pollenrollout.Unsent
+	case errors.As(err, &notRun):
+		return pollenrollout.NotRun
+	case err != nil && ctx.Err() != nil:
+		return pollenrollout.Answered
+	case err != nil || answer.Status >= 500:
+		return pollenrollout.Failed
+	}
+	return pollenrollout.Answered
+}
+
 // answeredLimit returns what an answer of the server itself states about its limit, or false if there was no such answer.
 func answeredLimit(answer *Answer, err error) (pollenquota.Limit, bool) {
 	var notRun *NotRunError
--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -195,7 +196,7 @@
 	if c.caution != pollensuspect.SendSuspect || c.answered.Load() {
 		return false
 	}
-	servers := c.forwarder.config.Table().AppendEligible(nil, s.service)
+	servers := c.admittedServers(c.forwarder.config.Table(), s.service, pollenrollout.Any, now)
 	if len(servers) < 2 {
 		return false
 	}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -11,6 +11,7 @@
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenreach"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -21,6 +22,8 @@
 	Budget      *pollenbudget.Budget
 	ColdLimiter *pollenramp.ColdLimiter
 	Quotas      *pollenquota.Quotas
+	// Rollouts tells which servers may get requests by their version; if it is nil, versions do not matter.
+	Rollouts *pollenrollout.Router
 	// Suspects decides which requests are held back because servers end under them; if it is nil, the Forwarder has its own.
 	Suspects *pollensuspect.Registry
 	// Reach tells whether this instance reaches the servers; if it is nil, it does.
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -58,6 +58,8 @@
 // SendGuard makes sure that a request is either sent or withdrawn, never both. The zero value is ready to use.
 type SendGuard struct {
 	state atomic.Int32
+	// claimedAt is the Unix time of the claim in nanoseconds; zero before.
+	claimedAt atomic.Int64
 }
 
 // The states of a SendGuard once it is claimed or withdrawn; before, its state is zero.
@@ -67,7 +69,22 @@
 )
 
 // Claim reports whether the request may be sent, and bars its withdrawal if so.
-func (g *SendGuard) Claim() bool { return g.state.CompareAndSwap(0, sendClaimed) }
+func (g *SendGuard) Claim() bool {
+	if !g.state.CompareAndSwap(0, sendClaimed) {
+		return false
+	}
+	g.claimedAt.Store(time.Now().UnixNano())
+	return true
+}
+
+// sinceClaim returns how long ago the request was claimed; zero if it was not.
+func (g *SendGuard) sinceClaim(now time.Time) time.Duration {
+	claimedAt := g.claimedAt.Load()
+	if claimedAt == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, claimedAt))
+}
 
 // Withdraw bars sending unless the request was claimed, and reports whether it will never be sent.
 func (g *SendGuard) Withdraw() bool {
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -7,6 +7,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -19,6 +20,8 @@
 	attempts                      []attempt
 	// pending is set while the subrequest waits for a server with capacity.
 	pending bool
+	// version says to which versions the first request goes; Any until that is chosen.
+	version pollenrollout.Choice
 	// sendCtx is cancelled when the subrequest is answered or the call has ended.
 	sendCtx      context.Context
 	cancelUnsent context.CancelFunc
@@ -63,7 +66,8 @@
 		ConnectionLimit: c.forwarder.connectionLimit(table, s.service, now), SendContext: s.sendCtx, SendGuard: guard,
 		MaxAnswerBytes: maxPartBytes(c.route),
 	}
-	go c.exchange(i, len(s.attempts)-1, observation, request, isTest)
+	rollout := c.forwarder.config.Rollouts.Start(c.route.Name, server, now)
+	go c.exchange(i, len(s.attempts)-1, observation, rollout, request, isTest)
 	return true
 }
 
@@ -91,8 +95,19 @@
 		return nil, false
 	}
 	table := c.forwarder.config.Table()
+	choice := c.versionChoice(s, now)
+	server, ok := c.chooseAmong(table, s, c.admittedServers(table, s.service, choice, now), now)
+	if !ok && choice == pollenrollout.FirstToTarget {
+		// The few servers of a new version are no reason to wait.
+		return c.chooseAmong(table, s, c.admittedServers(table, s.service, pollenrollout.FirstToFormer, now), now)
+	}
+	return server, ok
+}
+
+// chooseAmong returns the best of the servers that were admitted for the next attempt, and whether it has capacity.
+func (c *call) chooseAmong(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
 	var untried, tried []*pollencatalog.Server
-	for _, server := range table.AppendEligible(nil, s.service) {
+	for _, server := range servers {
 		switch {
 		case !s.hasTried(server):
 			untried = append(untried, server)
@@ -111,6 +126,22 @@
 	return c.bestServer(table, s, tried, now)
 }
 
+// admittedServers returns the servers of a service that may get an attempt now.
+func (c *call) admittedServers(table *pollencatalog.Table, service string, choice pollenrollout.Choice, now time.Time) []*pollencatalog.Server {
+	return c.forwarder.config.Rollouts.Admit(table.AppendEligible(nil, service), service, choice, now)
+}
+
+// versionChoice returns to which versions the next attempt of a subrequest may go. It is chosen once for the first request.
+func (c *call) versionChoice(s *subrequest, now time.Time) pollenrollout.Choice {
+	if len(s.attempts) > 0 {
+		return pollenrollout.Repeat
+	}
+	if s.version == pollenrollout.Any {
+		s.version = c.forwarder.config.Rollouts.Choose(s.service, now)
+	}
+	return s.version
+}
+
 // bestServer returns the best of the servers that their limits and the cold limiter allow, preferably one with an available
 // connection, and whether it has capacity.
 func (c *call) bestServer(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
@@ -162,13 +193,13 @@
 // hasAvailableServer reports whether any server of the subrequest is neither ejected nor unresponsive. Ejected and
 // unresponsive servers rarely recover in time for the request.
 func (c *call) hasAvailableServer(s *subrequest, now time.Time) bool {
-	return c.forwarder.config.Ranking.AnyAvailable(c.forwarder.config.Table().AppendEligible(nil, s.service), now)
+	return c.forwarder.config.Ranking.AnyAvailable(c.admittedServers(c.forwarder.config.Table(), s.service, pollenrollout.Any, now), now)
 }
 
 // hasServerBelowLimit reports whether any available server of the subrequest may get a request until a time by its limit.
 func (c *call) hasServerBelowLimit(s *subrequest, now, until time.Time) bool {
 	table := c.forwarder.config.Table()
-	servers := slices.DeleteFunc(table.AppendEligible(nil, s.service), func(server *pollencatalog.Server) bool {
+	servers := slices.DeleteFunc(c.admittedServers(table, s.service, pollenrollout.Any, now), func(server *pollencatalog.Server) bool {
 		return c.forwarder.config.Quotas.NextSend(server, table, now).After(until)
 	})
 	return c.forwarder.config.Ranking.AnyAvailable(servers, now)
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -12,6 +12,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenreplica"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollensuspect"
@@ -40,6 +41,11 @@
 	Suspects pollensuspect.Message
 }
 
+// RolloutsRequest is the argument of Relay.ReportRollouts, which tells a driver of rollouts what an instance has counted.
+type RolloutsRequest struct {
+	Reports []pollenrollout.Report
+}
+
 // Reply is the result of the methods of Relay.
 type Reply struct {
 	Listing pollenstore.Listing
@@ -52,6 +58,8 @@
 	Rank, Standbys int
 	// Suspects is the instance's evidence against requests; it is empty if the caller has its version.
 	Suspects pollensuspect.Message
+	// Rulings holds a ruling for each report on a rollout.
+	Rulings []pollenrollout.Ruling
 }
 
 // ServerConfig holds the parameters of a Server.
@@ -60,6 +68,8 @@
 	MaxStaleness time.Duration
 	// Suspects holds the evidence against requests under which servers ended; if it is nil, there is none.
 	Suspects *pollensuspect.Registry
+	// ReceiveRollout takes a report on a rollout; it is nil if the instance takes part in none.
+	ReceiveRollout func(report pollenrollout.Report, now time.Time) pollenrollout.Ruling
 }
 
 // Server holds a replica of the store and serves it to other instances.
@@ -137,6 +147,7 @@
 	methodWatch     = serviceName + ".Watch"
 	methodListKnown = serviceName + ".ListKnown"
 	methodSuspects  = serviceName + ".ShareSuspects"
+	methodRollouts  = serviceName + ".ReportRollouts"
 	// acceptRetryDelay keeps a failing listener from using the whole processor.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -199,6 +210,17 @@
 	return nil
 }
 
+// ReportRollouts takes an instance's reports on rollouts that this instance drives.
+func (s *service) ReportRollouts(request RolloutsRequest, reply *Reply) error {
+	if s.server.config.ReceiveRollout == nil {
+		return nil
+	}
+	for _, report := range request.Reports {
+		reply.Rulings = append(reply.Rulings, s.server.config.ReceiveRollout(report, time.Now()))
+	}
+	return nil
+}
+
 // Watch waits for events after a revision and ranks the follower that calls.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
 	reply.Rank, reply.Standbys = s.server.updateRank(request.Follower, request.Standby)
--- a/pollen/pollenstore/store.go
+++ b/pollen/pollenstore/store.go
@@ -50,6 +50,34 @@
 	Delete bool
 }
 
+// Condition is a key with the version that it must have for a transaction to take effect; zero for a key that must not exist.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Transaction writes and removes keys in one step, if all conditions hold.
+type Transaction struct {
+	Conditions []Condition
+	// Puts holds the keys to write; their versions do not matter.
+	Puts   []Entry
+	Remove []string
+}
+
+// ConditionError reports a transaction whose conditions do not hold, and which had no effect.
+type ConditionError struct {
+	// Current holds the keys of the conditions that exist.
+	Current []Entry
+}
+
+func (e *ConditionError) Error() string {
+	text := "conditions of a transaction do not hold"
+	for _, entry := range e.Current {
+		text += fmt.Sprintf("; key %s has version %d", entry.Key, entry.Version)
+	}
+	return text
+}
+
 // Lease is a lease as the store granted it; it expires Duration after its last renewal.
 type Lease struct {
 	ID       uint64
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -18,6 +18,8 @@
 	Instance      *pollencatalog.Instance
 	// EvacuatedZone is an availability zone whose servers must get no requests.
 	EvacuatedZone string
+	RolloutOrder  *pollencatalog.RolloutOrder
+	RolloutState  *pollencatalog.RolloutState
 }
 
 // Decoder decodes keys of the store.
@@ -77,7 +79,7 @@
 	restore    restoreState
 }
 
-// keyState is the state of a key that names a server, an instance or an evacuated zone.
+// keyState is the state of a key that names a server, an instance, an evacuated zone or a rollout.
 type keyState struct {
 	record Record
 	// missing is set while the store no longer has the key and the view retains it.
@@ -266,6 +268,10 @@
 			delete(v.departedAt, k.record.Instance.Name)
 		case k.record.EvacuatedZone != "":
 			config.EvacuatedZones[k.record.EvacuatedZone] = true
+		case k.record.RolloutOrder != nil:
+			config.RolloutOrders = append(config.RolloutOrders, k.record.RolloutOrder)
+		case k.record.RolloutState != nil:
+			config.RolloutStates = append(config.RolloutStates, k.record.RolloutState)
 		}
 	}
 	config.DepartedInstances = len(v.departedAt)
@@ -283,7 +289,7 @@
 	return v.configuration.Version
 }
 
-// logRecord logs a change of a key that names a server, an instance or an evacuated zone.
+// logRecord logs a change of a key that names a server, an instance, an evacuated zone or a rollout.
 func (v *View) logRecord(message, key string, revision uint64, record Record) {
 	switch {
 	case record.Server != nil:
@@ -291,6 +297,12 @@
 		klog.InfoS(message, "key", key, "revision", revision, "service", s.Service, "zone", s.Zone, "leaving", s.Draining, "coldUntil", s.ColdUntil)
 	case record.Instance != nil:
 		klog.InfoS(message, "key", key, "revision", revision, "incarnation", record.Instance.Incarnation, "ready", record.Instance.Ready)
+	case record.RolloutOrder != nil:
+		o := record.RolloutOrder
+		klog.InfoS(message, "key", key, "revision", revision, "target", o.Target, "duration", o.Duration.String(), "problem", o.Problem)
+	case record.RolloutState != nil:
+		s := record.RolloutState
+		klog.InfoS(message, "key", key, "revision", revision, "target", s.Target, "state", s.State, "share", s.Share)
 	default:
 		klog.InfoS(message, "key", key, "revision", revision, "evacuatedZone", record.EvacuatedZone)
 	}
