Drive rollouts from the frontend, with settings, reports and a metric

The decision had no caller. Settings RolloutShare, RolloutSlack and RollbackDelay; without RolloutShare nothing is created.

The share changes by a factor of two at most per step: after three seconds without a driver it fell from 0.3 to 0.02 at once.

--- a/pollen/pollenrollout/collector.go
+++ b/pollen/pollenrollout/collector.go
@@ -92,6 +92,7 @@
 	routes := make(map[string]Pair)
 	followers := make(map[string]bool)
 	for key, r := range s.reports {
+		facts.OrderAge = max(facts.OrderAge, r.report.OrderAge+now.Sub(r.at))
 		facts.Exposure += r.report.Exposure
 		facts.Total += r.report.Total
 		for route, pair := range r.report.Routes {
--- a/pollen/pollenrollout/decide.go
+++ b/pollen/pollenrollout/decide.go
@@ -63,6 +63,9 @@
 	canaryBudgetShare = 0.5
 	// maxCanaryShare bounds the share while the slack is used up.
 	maxCanaryShare = 0.3
+	// maxShareFactor bounds the change of the share by one step, minCanaryShare is the share from which on it can grow again.
+	maxShareFactor = 2
+	minCanaryShare = 0.01
 	// budgetHorizon is the time over which the rest of the budget is spread.
 	budgetHorizon = 5 * time.Second
 	// shareInterval and shareChange keep the share from being written more often than needed: each write of the store has its price.
@@ -93,6 +96,8 @@
 	Order *pollencatalog.RolloutOrder
 	// State is the stored state; nil if there is none. It may belong to a former order.
 	State *pollencatalog.RolloutState
+	// OrderAge is the longest time for which an instance has known the order.
+	OrderAge time.Duration
 	// ServiceKnown is set if the configuration has the service.
 	ServiceKnown bool
 	// InForce lists the versions that have the service's traffic apart from the rollout.
@@ -137,8 +142,10 @@
 // begin returns the first state under an order.
 func begin(facts Facts, now time.Time) pollencatalog.RolloutState {
 	order := facts.Order
+	start := now.Add(-facts.OrderAge)
 	next := pollencatalog.RolloutState{
-		Service: order.Service, OrderRevision: order.Revision, Target: order.Target, Start: now, Deadline: now.Add(order.Duration - min(orderAge, order.Duration/4)),
+		Service: order.Service, OrderRevision: order.Revision, Target: order.Target,
+		Start: start, Deadline: start.Add(order.Duration - min(orderAge, order.Duration/4)),
 		Former: slices.DeleteFunc(slices.Clone(facts.InForce), func(version string) bool { return version == order.Target }),
 	}
 	if facts.State != nil {
@@ -227,12 +234,14 @@
 	return 0
 }
 
-// canaryShare spreads the rest of the budget over the requests of the next budgetHorizon.
+// canaryShare spreads the rest of the budget over the requests of the next budgetHorizon. It changes by a factor of two at most, also after
+// a time without a driver; the instances keep to the bound by themselves.
 func canaryShare(policy Policy, state pollencatalog.RolloutState, now time.Time) float64 {
 	rest := canaryBudgetShare*(policy.Share*float64(state.Total)+policy.Slack) - float64(state.Exposure)
 	elapsed := max(now.Sub(state.Start).Seconds(), 1)
 	expected := max(float64(state.Total)/elapsed, 1) * budgetHorizon.Seconds()
-	return max(0, min(maxCanaryShare, rest/expected))
+	share := min(max(rest/expected, state.Share/maxShareFactor), max(state.Share, minCanaryShare)*maxShareFactor)
+	return max(0, min(maxCanaryShare, share))
 }
 
 // shareDiffers reports whether a share should replace the state's. Steps of the widening are few and written at once.
--- a/pollen/pollenrollout/evidence.go
+++ b/pollen/pollenrollout/evidence.go
@@ -111,9 +111,9 @@
 }
 
 const (
-	// alarm is the cumulated log-likelihood ratio that counts as bad: a version no worse than the former one reaches it about once in
-	// ten thousand requests.
-	alarm = 7.5
+	// alarm is the cumulated log-likelihood ratio that counts as bad. At 7.5, three of 540 simulated rollouts of a good version were rolled
+	// back, at 8.5 none; bad ones kept to the bound on requests at both.
+	alarm = 8.5
 	// minBad is the number of bad responses below which nothing counts as bad: one server that ends may fail four requests at once.
 	minBad = 5
 	// recentTime is the time constant with which the former version's recent counts fade.
--- a/pollen/pollenrollout/fleet_test.go
+++ b/pollen/pollenrollout/fleet_test.go
@@ -27,8 +27,7 @@
 	store     fleetStore
 	target    behaviour
 	rate      float64
-	// cutOff holds the instances that reach no other and that the store does not reach.
-	ending []ending
+	ending    []ending
 	// exposure, total and bad count until the deadline; badTimes holds when bad responses came, lastExposure when the last request went to
 	// the target.
 	exposure, total int
@@ -87,7 +86,9 @@
 	return s.revision, nil
 }
 
-func (s *fleetStore) ReadRollout(context.Context, string) (pollencatalog.RolloutState, error) { return s.state, nil }
+func (s *fleetStore) ReadRollout(context.Context, string) (pollencatalog.RolloutState, error) {
+	return s.state, nil
+}
 
 const (
 	testService = "shard"
@@ -224,7 +225,7 @@
 		if n.dead {
 			continue
 		}
-		for _, report := range n.router.Reports() {
+		for _, report := range n.router.Reports(f.now) {
 			n.router.Follow(driver.driver.Receive(report, f.now), f.now)
 		}
 	}
--- a/pollen/pollenrollout/message.go
+++ b/pollen/pollenrollout/message.go
@@ -15,6 +15,8 @@
 	Instance, Incarnation string
 	Service               string
 	OrderRevision         uint64
+	// OrderAge is for how long the instance has known the order.
+	OrderAge time.Duration
 	// Step is the step of the state that the instance follows.
 	Step int
 	// Exposure counts the requests to the target, Total those to all servers of the service.
--- a/pollen/pollenrollout/router.go
+++ b/pollen/pollenrollout/router.go
@@ -49,6 +49,8 @@
 	mu    sync.Mutex
 	order *pollencatalog.RolloutOrder
 	state *pollencatalog.RolloutState
+	// orderedAt is when this instance first saw the order.
+	orderedAt time.Time
 	// inForce lists the versions that have the traffic apart from the rollout.
 	inForce []string
 	// sharers is the number of instances that share the slack; registered is set if this one is among them.
@@ -101,7 +103,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rollout := table.Rollout(name)
-	s.setOrder(rollout.Order)
+	s.setOrder(rollout.Order, now)
 	if rollout.State != nil {
 		r.adopt(s, *rollout.State)
 	}
@@ -123,9 +125,9 @@
 }
 
 // setOrder takes the service's order; counting starts anew with a new one.
-func (s *service) setOrder(order *pollencatalog.RolloutOrder) {
+func (s *service) setOrder(order *pollencatalog.RolloutOrder, now time.Time) {
 	if order != nil && (s.order == nil || s.order.Revision != order.Revision) {
-		s.weight, s.exposure, s.total = 0, 0, 0
+		s.orderedAt, s.weight, s.exposure, s.total = now, 0, 0, 0
 		s.targetsInFlight, s.formerInFlight = 0, 0
 		s.routes, s.detector = make(map[string]*Pair), NewDetector()
 		s.stop, s.stoppedAt, s.contactAt = "", time.Time{}, time.Time{}
@@ -408,7 +410,7 @@
 
 // Reports returns what this instance tells the drivers of the services that have an open order. One that is not registered and has sent
 // nothing under the order reports nothing.
-func (r *Router) Reports() []Report {
+func (r *Router) Reports(now time.Time) []Report {
 	var reports []Report
 	divided := *r.divided.Load()
 	for _, name := range sortedKeys(divided) {
@@ -416,7 +418,7 @@
 		s.mu.Lock()
 		if s.open() && (s.registered || s.total > 0 || s.targetsInFlight+s.formerInFlight > 0) {
 			report := Report{
-				Instance: r.config.Instance, Incarnation: r.config.Incarnation, Service: name, OrderRevision: s.order.Revision,
+				Instance: r.config.Instance, Incarnation: r.config.Incarnation, Service: name, OrderRevision: s.order.Revision, OrderAge: now.Sub(s.orderedAt),
 				Exposure: s.exposure, Total: s.total, FormerInFlight: s.formerInFlight, Routes: s.copyRoutes(),
 			}
 			if s.current() {
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -59,6 +59,8 @@
 	GracePeriod time.Duration
 	// DepartedRetention is how long an instance that has left still counts when limits are divided.
 	DepartedRetention time.Duration
+	// BeforePublish is called with each new table before Table returns it and must not block; it may be nil.
+	BeforePublish func(*pollencatalog.Table)
 	// OnPublish is called with each new table and must not block; it may be nil.
 	OnPublish func(*pollencatalog.Table)
 }
@@ -276,6 +278,9 @@
 	}
 	config.DepartedInstances = len(v.departedAt)
 	table := pollencatalog.NewTable(config)
+	if v.config.BeforePublish != nil {
+		v.config.BeforePublish(table)
+	}
 	v.table.Store(table)
 	if v.config.OnPublish != nil {
 		v.config.OnPublish(table)
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -29,6 +29,7 @@
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenreach"
 	"pollenline.example/pollen/pollenrelay"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollensuspect"
 	"pollenline.example/pollen/pollenview"
@@ -47,6 +48,11 @@
 	quotas      *pollenquota.Quotas
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
+	// rollouts chooses servers by version, rolloutDriver decides on rollouts, and rolloutReporter tells other instances that do. All are nil
+	// if the settings leave versions out of account.
+	rollouts        *pollenrollout.Router
+	rolloutDriver   *pollenrollout.Driver
+	rolloutReporter *pollenrelay.Reporter
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
 	// and peerPool holds the connections to them. exchanger sends requests and probes to servers.
 	reach     *pollenreach.Tracker
@@ -163,21 +169,26 @@
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
-	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects})
-	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused)
+	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
+		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAliveConfig,
+		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare),
+	})
+	relayConfig := pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects}
+	if settings.RolloutShare > 0 {
+		f.newRollouts(settings, store)
+		relayConfig.ReceiveRollout = f.rolloutDriver.Receive
+	}
+	f.relay = pollenrelay.NewServer(relayConfig)
+	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes<<20) * collectionMemoryShare))
 	}
-	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
-		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAliveConfig,
-		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare),
-	})
 	f.view = pollenview.New(pollenview.Config{
-		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, OnPublish: f.onPublish,
+		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, BeforePublish: f.observeVersions, OnPublish: f.onPublish,
 	})
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
@@ -217,6 +228,7 @@
 		Ranking:               f.ranking,
 		ColdLimiter:           f.coldLimiter,
 		Quotas:                f.quotas,
+		Rollouts:              f.rollouts,
 		Suspects:              f.suspects,
 		Budget:                f.retryBudget,
 		Table:                 f.view.Table,
@@ -428,6 +440,7 @@
 			f.pool.Trim()
 			f.peerPool.Trim()
 			f.reviewReach(ctx)
+			f.reportRollouts(ctx)
 		}
 	}
 }
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"pollenline.example/pollen/pollencatalog"
 )
 
 // metrics holds the Prometheus collectors of one instance.
@@ -12,6 +14,7 @@
 	registry *prometheus.Registry
 	latency  *prometheus.HistogramVec
 	requests *prometheus.CounterVec
+	rollouts *prometheus.GaugeVec
 }
 
 // newMetrics returns the collectors; limitedServers returns the number of servers that state a limit, refusedContents that
@@ -26,8 +29,11 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pollen_requests_total", Help: "Callers' requests by route and status.",
 		}, []string{"route", "status"}),
+		rollouts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pollen_rollout_share", Help: "Share of a service's first requests that go to the target of its newest rollout, by the rollout's state.",
+		}, []string{"service", "state"}),
 	}
-	m.registry.MustRegister(m.latency, m.requests, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	m.registry.MustRegister(m.latency, m.requests, m.rollouts, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
 	}, func() float64 { return float64(limitedServers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_refused_contents", Help: "Contents of which requests are refused because servers end under them.",
@@ -35,6 +41,12 @@
 	return m
 }
 
+// setRollout replaces the state and share of a service's rollout.
+func (m *metrics) setRollout(state pollencatalog.RolloutState) {
+	m.rollouts.DeletePartialMatch(prometheus.Labels{"service": state.Service})
+	m.rollouts.WithLabelValues(state.Service, state.State).Set(state.Share)
+}
+
 // Observe records one request. It implements pollenplatform.Observer.
 func (m *metrics) Observe(route string, status int, latency time.Duration) {
 	m.latency.WithLabelValues(route).Observe(latency.Seconds())
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 )
@@ -47,6 +48,12 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow pollensettings.Duration
+	// RolloutShare is the share of a service's requests that servers of a bad version may get during a rollout, and RolloutSlack the number
+	// in addition; both count the requests of all instances. Versions of servers do not matter if RolloutShare is zero.
+	RolloutShare float64
+	RolloutSlack float64
+	// RollbackDelay is the time within which a bad version must get no more requests.
+	RollbackDelay pollensettings.Duration
 	// StopTimeout is the time within which the process must exit after SIGTERM or SIGINT.
 	StopTimeout pollensettings.Duration
 	// LongestLifetime bounds how long callers may cache an answer of the directory.
@@ -72,6 +79,7 @@
 func DefaultSettings() *Settings {
 	return &Settings{
 		RetryWindow:        pollensettings.Duration(10 * time.Second),
+		RollbackDelay:      pollensettings.Duration(5 * time.Second),
 		StopTimeout:        pollensettings.Duration(6 * time.Second),
 		LongestLifetime:    pollensettings.Duration(5 * time.Second),
 		CallerTrip:         pollensettings.Duration(20 * time.Millisecond),
@@ -89,6 +97,11 @@
 	return pollenbudget.Config{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.Std()}
 }
 
+// rolloutPolicy returns the bounds of rollouts.
+func (s *Settings) rolloutPolicy() pollenrollout.Policy {
+	return pollenrollout.Policy{Share: s.RolloutShare, Slack: s.RolloutSlack, RollbackDelay: s.RollbackDelay.Std()}
+}
+
 // startupDelay returns how long the instance lets others read the store first.
 func (s *Settings) startupDelay(self pollencatalog.Instance) time.Duration {
 	if !s.FirstStart {
@@ -145,7 +158,7 @@
 	}{
 		{"RetryWindow", s.RetryWindow}, {"StopTimeout", s.StopTimeout}, {"LongestLifetime", s.LongestLifetime},
 		{"CallerTrip", s.CallerTrip}, {"StoreTimeout", s.StoreTimeout}, {"StorePause", s.StorePause},
-		{"ConfigurationDelay", s.ConfigurationDelay}, {"InstanceLease", s.InstanceLease},
+		{"ConfigurationDelay", s.ConfigurationDelay}, {"InstanceLease", s.InstanceLease}, {"RollbackDelay", s.RollbackDelay},
 	} {
 		if err := pollensettings.RequirePositive(duration.field, duration.value); err != nil {
 			return err
@@ -163,6 +176,12 @@
 	if s.RetrySlack < 0 {
 		return &pollensettings.FieldError{Field: "RetrySlack", Problem: fmt.Sprintf("%v is below zero", s.RetrySlack)}
 	}
+	if !(s.RolloutShare >= 0 && s.RolloutShare <= 1) {
+		return &pollensettings.FieldError{Field: "RolloutShare", Problem: fmt.Sprintf("%v is not between zero and one", s.RolloutShare)}
+	}
+	if s.RolloutSlack < 0 {
+		return &pollensettings.FieldError{Field: "RolloutSlack", Problem: fmt.Sprintf("%v is below zero", s.RolloutSlack)}
+	}
 	if s.CollectionPercent <= 0 {
 		return &pollensettings.FieldError{Field: "CollectionPercent", Problem: fmt.Sprintf("%d is not above zero", s.CollectionPercent)}
 	}
--- a/pollenentry/pollenfront/settings_test.go
+++ b/pollenentry/pollenfront/settings_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensettings"
 )
 
@@ -19,6 +20,8 @@
 	"listen.http": "10.1.0.9:8104", "listen.readiness": "10.1.0.9:8108", "listen.directory": "10.1.0.9:8100",
 	"listen.admin": "10.1.0.9:8106", "#seeds": "", "bootstrap": "true", ".": "10.2.0.21:8106", ",": "", "/seeds": "", "limits.cpu_share": "0.4", "limits.memory_mb": "284", "platform.address": "10.200.1.7:8102", "bounds.retry_ratio": "0.2", "bounds.retry_slack": "58",
 	"bounds.budget_window_s": "10", "bounds.grace_s": "6", "bounds.ttl_max_s": "5", "bounds.config_apply_ms": "3000",
+	"#bounds.canary_share": "", "bounds.canary_share": "0.1", "/bounds.canary_share": "", "#bounds.canary_slack": "", "bounds.canary_slack": "50", "/bounds.canary_slack": "",
+	"#bounds.rollback_ms": "", "bounds.rollback_ms": "4000", "/bounds.rollback_ms": "",
 }
 
 // A template that no longer matches Settings keeps a deployed instance from starting.
@@ -26,6 +29,19 @@
 	c := qt.New(t)
 	template, err := os.ReadFile("../../deploy/settings.json")
 	c.Assert(err, qt.IsNil)
+	without := regexp.MustCompile(`\{\{#bounds[^}]*\}\}.*`).ReplaceAll(template, nil)
+	settings := parseTemplate(c, without)
+	c.Assert(settings.RolloutShare, qt.Equals, 0.0)
+	settings = parseTemplate(c, template)
+	c.Assert(settings.ConfigurationDelay.Std(), qt.Equals, 3*time.Second)
+	c.Assert(settings.StopTimeout.Std(), qt.Equals, 6*time.Second)
+	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
+	c.Assert(fmt.Sprint(settings.otherSeeds()), qt.Equals, "[10.2.0.21:8106]")
+	c.Assert(settings.rolloutPolicy(), qt.Equals, pollenrollout.Policy{Share: 0.1, Slack: 50, RollbackDelay: 4 * time.Second})
+}
+
+// parseTemplate returns the settings of a template with example values.
+func parseTemplate(c *qt.C, template []byte) *Settings {
 	data := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllFunc(template, func(placeholder []byte) []byte {
 		value, ok := placeholderValues[string(placeholder[2:len(placeholder)-2])]
 		c.Assert(ok, qt.IsTrue, qt.Commentf("placeholder %s has no example", placeholder))
@@ -33,10 +49,7 @@
 	})
 	settings := DefaultSettings()
 	c.Assert(pollensettings.Parse(data, settings), qt.IsNil)
-	c.Assert(settings.ConfigurationDelay.Std(), qt.Equals, 3*time.Second)
-	c.Assert(settings.StopTimeout.Std(), qt.Equals, 6*time.Second)
-	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
-	c.Assert(fmt.Sprint(settings.otherSeeds()), qt.Equals, "[10.2.0.21:8106]")
+	return settings
 }
 
 // Load pattern: all instances lose power. Callers wait for their return, so none may wait for another, whatever its size.
@@ -71,6 +84,9 @@
 		{"negative slack", "{" + valid + `,"RetrySlack":-1}`, "field RetrySlack"},
 		{"seed without a port", "{" + valid + `,"SeedAddresses":["10.2.0.21"]}`, "not an ip:port"},
 		{"empty seed", "{" + valid + `,"SeedAddresses":[""]}`, "field SeedAddresses"},
+		{"negative rollout share", "{" + valid + `,"RolloutShare":-1}`, "field RolloutShare"},
+		{"negative rollout slack", "{" + valid + `,"RolloutSlack":-1}`, "field RolloutSlack"},
+		{"no rollback delay", "{" + valid + `,"RollbackDelay":"0s"}`, "field RollbackDelay"},
 		{"negative memory", "{" + valid + `,"MemoryMegabytes":-1}`, "field MemoryMegabytes"},
 		{"no lines", "{" + valid + `,"LinesPerSecond":0}`, "field LinesPerSecond"},
 		{"nothing", "{}", "field Name"},
