--- a/pollenentry/pollenfront/restored_test.go
+++ b/pollenentry/pollenfront/restored_test.go
@@ -62,8 +62,8 @@
 	return netip.AddrPortFrom(address, testBasePort+uint16(nextTestPort.Add(1)))
 }
 
-// startFrontend starts an instance; it ends with the test.
-func startFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort) *Frontend {
+// startFrontend starts an instance, with changes to its settings; it ends with the test.
+func startFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort, changes ...func(*Settings)) *Frontend {
 	settings := DefaultSettings()
 	settings.Name, settings.Zone, settings.StoreAddress, settings.ProcessorShare = name, "zone-a", store, 1
 	for _, address := range []*netip.AddrPort{
@@ -73,6 +73,9 @@
 	}
 	settings.ConfigurationDelay = pollensettings.Duration(testConfigurationDelay)
 	settings.StorePause, settings.StopTimeout = pollensettings.Duration(50*time.Millisecond), pollensettings.Duration(10*time.Millisecond)
+	for _, change := range changes {
+		change(settings)
+	}
 	f, err := New(settings, slog.Default())
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
