Ask for evidence on more than one server, and end rollouts that nobody decided

A version was rolled back for what one of its three servers did. The target's counts are kept by server, and part of the alarm must remain without any one of them. A rollout that could not be decided by its deadline is rolled back, as the instances have returned to the former servers by then.

--- a/pollen/pollenrollout/collector.go
+++ b/pollen/pollenrollout/collector.go
@@ -97,8 +97,7 @@
 		facts.Total += r.report.Total
 		for route, pair := range r.report.Routes {
 			sum := routes[route]
-			sum.Target.add(&pair.Target)
-			sum.Former.add(&pair.Former)
+			sum.add(pair)
 			routes[route] = sum
 		}
 		if now.Sub(r.at) <= freshness {
--- a/pollen/pollenrollout/decide.go
+++ b/pollen/pollenrollout/decide.go
@@ -186,6 +186,9 @@
 	switch {
 	case facts.Finding != "":
 		return eventBad, facts.Finding
+	case now.After(state.Deadline.Add(orderAge)):
+		// The instances have returned to the former servers by then.
+		return eventExpired, "nothing could be decided until the deadline"
 	case late && facts.TargetServers == 0:
 		return eventExpired, "no server of the version at the deadline"
 	case state.State == stateCanary && facts.TargetServers > 0 && !now.Before(wideningStart(state)):
--- a/pollen/pollenrollout/router.go
+++ b/pollen/pollenrollout/router.go
@@ -304,6 +304,7 @@
 	service  *service
 	detector *Detector
 	route    string
+	server   string
 	isTarget bool
 	cold     bool
 }
@@ -333,7 +334,7 @@
 	if !s.open() {
 		return nil
 	}
-	a := &Attempt{service: s, detector: s.detector, route: route, isTarget: s.isTarget(server), cold: server.Cold(now)}
+	a := &Attempt{service: s, detector: s.detector, route: route, server: server.ID, isTarget: s.isTarget(server), cold: server.Cold(now)}
 	if a.isTarget {
 		s.exposure++
 		s.targetsInFlight++
@@ -371,20 +372,21 @@
 	}
 	pair, ok := s.routes[a.route]
 	if !ok {
-		pair = &Pair{}
+		pair = &Pair{Target: make(map[string]Counts)}
 		s.routes[a.route] = pair
 	}
-	counts := &pair.Former
-	if a.isTarget {
-		counts = &pair.Target
-	}
-	counts.Requests++
+	one := Counts{Requests: 1}
 	switch {
 	case result == Failed:
-		counts.Failures++
+		one.Failures = 1
 	case !a.cold:
 		// A cold server is slow whatever its version.
-		counts.Latencies[latencyClass(latency)]++
+		one.Latencies[latencyClass(latency)] = 1
+	}
+	if a.isTarget {
+		pair.add(Pair{Target: map[string]Counts{a.server: one}})
+	} else {
+		pair.Former.add(&one)
 	}
 	if a.isTarget && divides(s.state) {
 		s.review(now)
@@ -403,7 +405,7 @@
 func (s *service) copyRoutes() map[string]Pair {
 	routes := make(map[string]Pair, len(s.routes))
 	for route, pair := range s.routes {
-		routes[route] = *pair
+		routes[route] = pair.clone()
 	}
 	return routes
 }
@@ -467,6 +469,7 @@
 	for _, route := range d.routes {
 		for i := range route.sums {
 			route.sums[i] = sum{}
+			clear(route.without[i])
 		}
 	}
 	return d
