--- a/pollen/pollenforward/crash.go
+++ b/pollen/pollenforward/crash.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -195,7 +196,7 @@
 	if c.caution != pollensuspect.SendSuspect || c.answered.Load() {
 		return false
 	}
-	servers := slices.DeleteFunc(c.forwarder.config.Table().AppendEligible(nil, s.service), c.forwarder.config.Gate.IsLeaving)
+	servers := slices.DeleteFunc(c.admittedServers(c.forwarder.config.Table(), s.service, pollenrollout.Any, now), c.forwarder.config.Gate.IsLeaving)
 	if len(servers) < 2 {
 		return false
 	}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -12,6 +12,7 @@
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenreach"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -24,6 +25,8 @@
 	Quotas      *pollenquota.Quotas
 	// Gate decides which servers may be sent requests; if it is nil, the Forwarder has its own.
 	Gate *pollengate.Gate
+	// Rollouts tells which servers may get requests by their version; if it is nil, versions do not matter.
+	Rollouts *pollenrollout.Router
 	// Suspects decides which requests are held back because servers end under them; if it is nil, the Forwarder has its own.
 	Suspects *pollensuspect.Registry
 	// Reach tells whether this instance reaches the servers; if it is nil, it does.
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -13,6 +13,7 @@
 	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenreplica"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollensuspect"
@@ -41,6 +42,11 @@
 	Suspects pollensuspect.Message
 }
 
+// RolloutsRequest is the argument of Relay.ReportRollouts, which tells a driver of rollouts what an instance has counted.
+type RolloutsRequest struct {
+	Reports []pollenrollout.Report
+}
+
 // Reply is the result of the methods of Relay.
 type Reply struct {
 	Listing pollenstore.Listing
@@ -55,6 +61,8 @@
 	Suspects pollensuspect.Message
 	// Usage is the instance's usage report.
 	Usage pollenallowance.Message
+	// Rulings holds a ruling for each report on a rollout.
+	Rulings []pollenrollout.Ruling
 }
 
 // ServerConfig holds the parameters of a Server.
@@ -65,6 +73,8 @@
 	Suspects *pollensuspect.Registry
 	// Allowances holds the use of limited teams; if it is nil, there are none.
 	Allowances *pollenallowance.Allowances
+	// ReceiveRollout takes a report on a rollout; it is nil if the instance takes part in none.
+	ReceiveRollout func(report pollenrollout.Report, now time.Time) pollenrollout.Ruling
 }
 
 // Server holds a replica of the store and serves it to other instances.
@@ -143,6 +153,7 @@
 	methodListKnown = serviceName + ".ListKnown"
 	methodSuspects  = serviceName + ".ShareSuspects"
 	methodUsage     = serviceName + ".ShareUsage"
+	methodRollouts  = serviceName + ".ReportRollouts"
 	// acceptRetryDelay keeps a failing listener from using the whole processor.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -214,6 +225,17 @@
 	return nil
 }
 
+// ReportRollouts takes an instance's reports on rollouts that this instance drives.
+func (s *service) ReportRollouts(request RolloutsRequest, reply *Reply) error {
+	if s.server.config.ReceiveRollout == nil {
+		return nil
+	}
+	for _, report := range request.Reports {
+		reply.Rulings = append(reply.Rulings, s.server.config.ReceiveRollout(report, time.Now()))
+	}
+	return nil
+}
+
 // Watch waits for events after a revision and ranks the follower that calls.
 func (s *service) Watch(request WatchRequest, reply *Reply) error {
 	reply.Rank, reply.Standbys = s.server.updateRank(request.Follower, request.Standby)
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -18,6 +18,8 @@
 	Instance      *pollencatalog.Instance
 	// EvacuatedZone is an availability zone whose servers must get no requests.
 	EvacuatedZone string
+	RolloutOrder  *pollencatalog.RolloutOrder
+	RolloutState  *pollencatalog.RolloutState
 }
 
 // Decoder decodes keys of the store.
@@ -57,6 +59,8 @@
 	GracePeriod time.Duration
 	// DepartedRetention is how long an instance that has left still counts when limits are divided.
 	DepartedRetention time.Duration
+	// BeforePublish is called with each new table before Table returns it and must not block; it may be nil.
+	BeforePublish func(*pollencatalog.Table)
 	// OnPublish is called with each new table and must not block; it may be nil.
 	OnPublish func(*pollencatalog.Table)
 }
@@ -77,7 +81,7 @@
 	restore    restoreState
 }
 
-// keyState is the state of a key that names a server, an instance or an evacuated zone.
+// keyState is the state of a key that names a server, an instance, an evacuated zone or a rollout.
 type keyState struct {
 	record Record
 	// missing is set while the store no longer has the key and the view retains it.
@@ -269,10 +273,17 @@
 			delete(v.departedAt, k.record.Instance.Name)
 		case k.record.EvacuatedZone != "":
 			config.EvacuatedZones[k.record.EvacuatedZone] = true
+		case k.record.RolloutOrder != nil:
+			config.RolloutOrders = append(config.RolloutOrders, k.record.RolloutOrder)
+		case k.record.RolloutState != nil:
+			config.RolloutStates = append(config.RolloutStates, k.record.RolloutState)
 		}
 	}
 	config.DepartedInstances = len(v.departedAt)
 	table := pollencatalog.NewTable(config)
+	if v.config.BeforePublish != nil {
+		v.config.BeforePublish(table)
+	}
 	v.table.Store(table)
 	if v.config.OnPublish != nil {
 		v.config.OnPublish(table)
@@ -286,7 +297,7 @@
 	return v.configuration.Version
 }
 
-// logRecord logs a change of a key that names a server, an instance or an evacuated zone.
+// logRecord logs a change of a key that names a server, an instance, an evacuated zone or a rollout.
 func (v *View) logRecord(message, key string, revision uint64, record Record) {
 	switch {
 	case record.Server != nil:
@@ -294,6 +305,12 @@
 		klog.InfoS(message, "key", key, "revision", revision, "service", s.Service, "zone", s.Zone, "leaving", s.Draining, "coldUntil", s.ColdUntil)
 	case record.Instance != nil:
 		klog.InfoS(message, "key", key, "revision", revision, "incarnation", record.Instance.Incarnation, "ready", record.Instance.Ready)
+	case record.RolloutOrder != nil:
+		o := record.RolloutOrder
+		klog.InfoS(message, "key", key, "revision", revision, "target", o.Target, "duration", o.Duration.String(), "problem", o.Problem)
+	case record.RolloutState != nil:
+		s := record.RolloutState
+		klog.InfoS(message, "key", key, "revision", revision, "target", s.Target, "state", s.State, "share", s.Share)
 	default:
 		klog.InfoS(message, "key", key, "revision", revision, "evacuatedZone", record.EvacuatedZone)
 	}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -31,6 +31,8 @@
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenreach"
 	"pollenline.example/pollen/pollenrelay"
+	"pollenline.example/pollen/pollenrollout"
+	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollensuspect"
 	"pollenline.example/pollen/pollenview"
@@ -54,6 +56,11 @@
 	reporter   *pollenrelay.Reporter
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
+	// rollouts chooses servers by version, rolloutDriver decides on rollouts, and rolloutReporter tells other instances that do. All are nil
+	// if the settings leave versions out of account.
+	rollouts        *pollenrollout.Router
+	rolloutDriver   *pollenrollout.Driver
+	rolloutReporter *pollenrelay.RolloutReporter
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
 	// and peerPool holds the connections to them. exchanger sends requests and probes to servers.
 	reach     *pollenreach.Tracker
@@ -173,7 +180,6 @@
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
-	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.gate = pollengate.New(pollengate.Config{
 		DrainNotice: settings.DrainNotice.Std(), Table: func() *pollencatalog.Table { return f.view.Table() },
@@ -184,19 +190,27 @@
 		InstanceName: settings.Name, Incarnation: f.self.Incarnation, Start: time.Now(), Observer: f.metrics,
 		Window: settings.QuotaWindow.Std(), Overshoot: settings.QuotaOvershoot, Slack: settings.QuotaSlack,
 	})
-	f.relay = pollenrelay.NewServer(pollenrelay.ServerConfig{MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances})
+	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
+		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAliveConfig,
+		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare),
+	})
+	relayConfig := pollenrelay.ServerConfig{
+		MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances,
+	}
+	if settings.RolloutShare > 0 {
+		f.newRollouts(settings, store)
+		relayConfig.ReceiveRollout = f.rolloutDriver.Receive
+	}
+	f.relay = pollenrelay.NewServer(relayConfig)
+	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.reporter = pollenrelay.NewReporter(pollenrelay.ReporterConfig{Allowances: f.allowances, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes<<20) * collectionMemoryShare))
 	}
-	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
-		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAliveConfig,
-		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare),
-	})
 	f.view = pollenview.New(pollenview.Config{
-		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, OnPublish: f.onPublish,
+		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, BeforePublish: f.observeVersions, OnPublish: f.onPublish,
 	})
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
@@ -208,7 +222,7 @@
 		Reader: f.source, Seeds: pollenrelay.NewSeeds(pollenrelay.SeedsConfig{Addresses: settings.otherSeeds(), Timeout: seedTimeout, Dial: dialPeer, Suspects: f.suspects}),
 		Post: f.handleStoreMessage, WatchWait: scale(settings.ConfigurationDelay, watchWaitShare), StartupDelay: settings.startupDelay(f.self), BatchDelay: settings.StorePause.Std(),
 	})
-	key, _, err := pollenplatform.EncodeInstance(f.self)
+	key, _, err := pollenroster.EncodeInstance(f.self)
 	if err != nil {
 		return nil, err
 	}
@@ -238,6 +252,7 @@
 		ColdLimiter:           f.coldLimiter,
 		Quotas:                f.quotas,
 		Gate:                  f.gate,
+		Rollouts:              f.rollouts,
 		Suspects:              f.suspects,
 		Budget:                f.retryBudget,
 		Table:                 f.view.Table,
@@ -408,7 +423,7 @@
 func (f *Frontend) registeredValue() ([]byte, error) {
 	self := f.self
 	self.CutOff = f.reach.CutOff()
-	_, value, err := pollenplatform.EncodeInstance(self)
+	_, value, err := pollenroster.EncodeInstance(self)
 	return value, err
 }
 
@@ -453,6 +468,7 @@
 			f.pool.Trim()
 			f.peerPool.Trim()
 			f.reviewReach(ctx)
+			f.reportRollouts(ctx)
 		}
 	}
 }
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenteam"
 )
@@ -22,6 +23,7 @@
 	quotas       *prometheus.CounterVec
 	teamLabels   pollenteam.Labels
 	teamUsage    *pollenteam.Usage
+	rollouts     *prometheus.GaugeVec
 }
 
 // teamUsageWindow is the window of the numbers of requests that operators are told.
@@ -50,8 +52,11 @@
 			Name: "pollen_quota_requests_total", Help: "Requests of teams with a limit that this instance admitted or refused.",
 		}, []string{"team", "result"}),
 		teamUsage: pollenteam.NewUsage(teamUsageWindow),
+		rollouts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pollen_rollout_share", Help: "Share of a service's first requests that go to the target of its newest rollout, by the rollout's state.",
+		}, []string{"service", "state"}),
 	}
-	m.registry.MustRegister(m.latency, m.requests, m.teamLatency, m.teamRequests, m.quotas, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	m.registry.MustRegister(m.latency, m.requests, m.teamLatency, m.teamRequests, m.quotas, m.rollouts, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_limited_servers", Help: "Backend servers that state a limit of requests per second.",
 	}, func() float64 { return float64(limitedServers()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pollen_refused_contents", Help: "Contents of which requests are refused because servers end under them.",
@@ -79,6 +84,12 @@
 	}
 }
 
+// setRollout replaces the state and share of a service's rollout.
+func (m *metrics) setRollout(state pollencatalog.RolloutState) {
+	m.rollouts.DeletePartialMatch(prometheus.Labels{"service": state.Service})
+	m.rollouts.WithLabelValues(state.Service, state.State).Set(state.Share)
+}
+
 // Observe records one request. It implements pollenplatform.Observer.
 func (m *metrics) Observe(route string, status int, latency time.Duration) {
 	m.latency.WithLabelValues(route).Observe(latency.Seconds())
--- a/pollenentry/pollenfront/registration.go
+++ b/pollenentry/pollenfront/registration.go
@@ -8,7 +8,6 @@
 
 	"k8s.io/klog/v2"
 
-	"pollenline.example/platform"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollenstore"
@@ -95,7 +94,7 @@
 // listedWatcher returns the peer address of the instance that watches the store for this one's zone, other than this one,
 // as a listing of the store names it.
 func (f *Frontend) listedWatcher(listing pollenstore.Listing) (netip.AddrPort, bool) {
-	instances := slices.DeleteFunc(pollenplatform.DecodeInstances(listing), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
+	instances := slices.DeleteFunc(pollenroster.DecodeInstances(listing), func(i pollencatalog.Instance) bool { return i.Name == f.self.Name })
 	watcher, ok := pollenroster.ZoneWatcher(instances, f.self.Zone)
 	return watcher.PeerAddress, ok && watcher.PeerAddress.IsValid()
 }
--- a/pollenentry/pollenfront/settings_test.go
+++ b/pollenentry/pollenfront/settings_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensettings"
 )
 
@@ -23,6 +24,8 @@
 	"#bounds.quota_window_s": "", "bounds.quota_window_s": "4", "/bounds.quota_window_s": "",
 	"#bounds.quota_overshoot": "", "bounds.quota_overshoot": "0.2", "/bounds.quota_overshoot": "",
 	"#bounds.quota_slack": "", "bounds.quota_slack": "30", "/bounds.quota_slack": "",
+	"#bounds.canary_share": "", "bounds.canary_share": "0.1", "/bounds.canary_share": "", "#bounds.canary_slack": "", "bounds.canary_slack": "50", "/bounds.canary_slack": "",
+	"#bounds.rollback_ms": "", "bounds.rollback_ms": "4000", "/bounds.rollback_ms": "",
 }
 
 // A template that no longer matches Settings keeps a deployed instance from starting, also where the platform states no quotas.
@@ -30,10 +33,11 @@
 	c := qt.New(t)
 	template, err := os.ReadFile("../../deploy/settings.json")
 	c.Assert(err, qt.IsNil)
-	withoutQuotas := regexp.MustCompile(`\{\{#bounds\.quota_.*\{\{/bounds\.quota_[a-z_]*\}\}`).ReplaceAll(template, nil)
-	c.Assert(string(withoutQuotas), qt.Not(qt.Contains), "Quota")
-	settings := renderSettings(c, withoutQuotas)
+	withoutOptional := regexp.MustCompile(`\{\{#bounds[^}]*\}\}.*`).ReplaceAll(template, nil)
+	c.Assert(string(withoutOptional), qt.Not(qt.Contains), "Quota")
+	settings := renderSettings(c, withoutOptional)
 	c.Assert(settings.QuotaWindow, qt.Equals, DefaultSettings().QuotaWindow)
+	c.Assert(settings.RolloutShare, qt.Equals, 0.0)
 	settings = renderSettings(c, template)
 	c.Assert(settings.QuotaWindow.Std(), qt.Equals, 4*time.Second)
 	c.Assert(settings.QuotaOvershoot, qt.Equals, 0.2)
@@ -43,6 +47,7 @@
 	c.Assert(settings.DrainNotice.Std(), qt.Equals, 5*time.Second)
 	c.Assert(settings.RetrySlack, qt.Equals, 58.0)
 	c.Assert(fmt.Sprint(settings.otherSeeds()), qt.Equals, "[10.2.0.21:8106]")
+	c.Assert(settings.rolloutPolicy(), qt.Equals, pollenrollout.Policy{Share: 0.1, Slack: 50, RollbackDelay: 4 * time.Second})
 }
 
 // renderSettings returns the settings that the platform renders from a template.
@@ -93,6 +98,9 @@
 		{"negative quota slack", "{" + valid + `,"QuotaSlack":-1}`, "field QuotaSlack"},
 		{"seed without a port", "{" + valid + `,"SeedAddresses":["10.2.0.21"]}`, "not an ip:port"},
 		{"empty seed", "{" + valid + `,"SeedAddresses":[""]}`, "field SeedAddresses"},
+		{"negative rollout share", "{" + valid + `,"RolloutShare":-1}`, "field RolloutShare"},
+		{"negative rollout slack", "{" + valid + `,"RolloutSlack":-1}`, "field RolloutSlack"},
+		{"no rollback delay", "{" + valid + `,"RollbackDelay":"0s"}`, "field RollbackDelay"},
 		{"negative memory", "{" + valid + `,"MemoryMegabytes":-1}`, "field MemoryMegabytes"},
 		{"no lines", "{" + valid + `,"LinesPerSecond":0}`, "field LinesPerSecond"},
 		{"nothing", "{}", "field Name"},
