Refuse queued requests at once when their servers ask for a pause

Cause: a queued request whose servers are all held back waited until its admission deadline. One whose servers are ejected or being probed still waits.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -80,8 +80,11 @@
 // Services whose servers are all at their limits do not count as pending: other calls wait for the same few requests.
 func (c *call) tryStart(now time.Time) bool {
 	if c.countBelowLimit(now, now) < c.requiredAnswers() {
-		// The call ends at once if it can no longer start in time, because servers have asked for pauses while it waited.
-		c.heldBack = c.refuseHeldBack(now, c.schedule.admissionDeadline(c.callerRetry))
+		// The call ends at once if it can no longer start in time, because servers have asked for pauses while it waited. It waits for
+		// servers that are ejected or being probed.
+		if deadline := c.schedule.admissionDeadline(c.callerRetry); c.countSendableBy(now, deadline) < c.requiredAnswers() {
+			c.heldBack = c.refuseHeldBack(now, deadline)
+		}
 		return c.heldBack != nil
 	}
 	if c.decideCaution(now) != nil {
--- a/pollen/pollenforward/heldback.go
+++ b/pollen/pollenforward/heldback.go
@@ -49,6 +49,18 @@
 	})
 }
 
+// countSendableBy returns the number of services that have a server, available or not, whose statements allow a request of the call by
+// a time.
+func (c *call) countSendableBy(now, by time.Time) int {
+	count := 0
+	for i := range c.subrequests {
+		if len(c.sendableBy(c.forwarder.config.Table().AppendEligible(nil, c.subrequests[i].service), now, by)) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // refuseHeldBack returns a *RefusedError if too few services have a server that may be sent a request by a time.
 func (c *call) refuseHeldBack(now, by time.Time) error {
 	count := c.countBelowLimit(now, by)
--- a/pollen/pollenforward/heldback_test.go
+++ b/pollen/pollenforward/heldback_test.go
@@ -277,3 +277,35 @@
 		c.Assert(leaving, qt.Equals, 1)
 	})
 }
+
+// Guards against a request that waits for capacity until its admission deadline although all servers have asked for a longer pause.
+func TestQueuedRequestIsRefusedOnceAllServersPause(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(1, 1000)
+		h.setAll(0, behaviour{delay: 10 * time.Millisecond})
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		refused := 0
+		start := time.Now()
+		for range 60 {
+			wg.Go(func() {
+				_, stats, _, err := h.serve(t.Context(), unshardedRoute(true))
+				var refusal *RefusedError
+				if errors.As(err, &refusal) {
+					mu.Lock()
+					defer mu.Unlock()
+					refused++
+					c.Check(stats.HeldBack.String(), qt.Equals, "paused: 2")
+					c.Check(time.Since(start) <= 10*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %v", time.Since(start)))
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		for _, server := range h.table.AppendServers(nil, service(0)) {
+			h.forwarder.recordAnnouncements(server, nil, &NotRunError{Status: 503, RetryAfter: 10 * time.Second}, time.Now())
+		}
+		wg.Wait()
+		c.Assert(refused > 0, qt.IsTrue)
+	})
+}
