Name the version as a reason why a server gets no requests

Cause: the gate knew the reason, but nothing told it which versions a rollout admits. Change: the rollout router implements pollengate.Versions. Result: TestVersionsDecideServers checks it for each state.

--- a/pollen/pollenforward/rollout_test.go
+++ b/pollen/pollenforward/rollout_test.go
@@ -62,6 +62,10 @@
 				h.table = pollencatalog.NewTable(config)
 				router.Observe(h.table, time.Now())
 				router.Follow(pollenrollout.Ruling{Service: service(0)}, time.Now())
+				for _, server := range config.Servers {
+					got := map[string][2]int{"v1": test.toFormer, "v2": test.toTarget}[server.Version]
+					c.Check(router.Admits(server, h.table, time.Now()), qt.Equals, got[1] > 0, qt.Commentf(server.ID))
+				}
 				for range 40 {
 					_, _, _, err := h.serve(t.Context(), unshardedRoute(true))
 					c.Check(err, qt.IsNil)
--- a/pollen/pollenrollout/router.go
+++ b/pollen/pollenrollout/router.go
@@ -299,6 +299,14 @@
 	return slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool { return !admits(server) })
 }
 
+// Admits implements pollengate.Versions.
+func (r *Router) Admits(server *pollencatalog.Server, table *pollencatalog.Table, now time.Time) bool {
+	if r.lookup(server.Service) == nil {
+		return true
+	}
+	return slices.Contains(r.Admit(table.AppendEligible(nil, server.Service), server.Service, Any, now), server)
+}
+
 // Attempt is one request to a server of a service whose rollout runs.
 type Attempt struct {
 	service  *service
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -181,10 +181,6 @@
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
-	f.gate = pollengate.New(pollengate.Config{
-		DrainNotice: settings.DrainNotice.Std(), Table: func() *pollencatalog.Table { return f.view.Table() },
-		Limits: f.quotas, ColdLimits: f.coldLimiter, Health: f.ranking,
-	})
 	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) })
 	f.allowances = pollenallowance.New(pollenallowance.Config{
 		InstanceName: settings.Name, Incarnation: f.self.Incarnation, Start: time.Now(), Observer: f.metrics,
@@ -201,6 +197,14 @@
 		f.newRollouts(settings, store)
 		relayConfig.ReceiveRollout = f.rolloutDriver.Receive
 	}
+	gateConfig := pollengate.Config{
+		DrainNotice: settings.DrainNotice.Std(), Table: func() *pollencatalog.Table { return f.view.Table() },
+		Limits: f.quotas, ColdLimits: f.coldLimiter, Health: f.ranking,
+	}
+	if f.rollouts != nil {
+		gateConfig.Versions = f.rollouts
+	}
+	f.gate = pollengate.New(gateConfig)
 	f.relay = pollenrelay.NewServer(relayConfig)
 	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.reporter = pollenrelay.NewReporter(pollenrelay.ReporterConfig{Allowances: f.allowances, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
