--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -83,8 +83,9 @@
 	isolatedSince time.Time
 	// reviewAt is when the next live peer may have become silent.
 	reviewAt time.Time
-	// seenAt is the last call, to notice that the instance was frozen.
-	seenAt time.Time
+	// seenAt is the last call. After a long gap, at gapAt, the instance adopts the tokens that its peers know of with their next reports:
+	// it was frozen or idle, and can't tell when the admissions that they report were refilled.
+	seenAt, gapAt time.Time
 	// sequence is increased by each change of this instance's counts.
 	sequence uint64
 	// urgent is the sequence up to which peers should get the counts at once.
@@ -93,11 +94,10 @@
 
 // team is the state of one limited team.
 type team struct {
-	name             string
-	priority         int
-	perSecond, burst float64
-	// knownSince is when the state was created, or when this instance was seen to have been frozen.
-	knownSince, settledAt time.Time
+	name                 string
+	priority             int
+	perSecond, burst     float64
+	createdAt, settledAt time.Time
 	// level is the number of tokens after all known admissions; it is negative after simultaneous admissions.
 	level float64
 	// full is the level of a bucket of which nothing is withheld for silent peers. When these are heard again, the level rises to it at
@@ -117,7 +117,7 @@
 func New(config Config) *Allowances {
 	return &Allowances{
 		config: config, changed: make(chan struct{}, 1), teams: make(map[string]*team), peers: make(map[string]*peer),
-		isolatedSince: config.Start,
+		isolatedSince: config.Start, seenAt: config.Start,
 	}
 }
 
@@ -227,7 +227,7 @@
 func (a *Allowances) team(t *pollencatalog.Team, now time.Time) *team {
 	s, ok := a.teams[t.Name]
 	if !ok {
-		s = &team{name: t.Name, perSecond: t.PerSecond, burst: t.Burst, knownSince: now, settledAt: now}
+		s = &team{name: t.Name, perSecond: t.PerSecond, burst: t.Burst, createdAt: now, settledAt: now}
 		s.level, s.full = a.capacity(s), a.bucket(s)
 		a.teams[t.Name] = s
 		for _, p := range a.peers {
--- a/pollen/pollenallowance/report.go
+++ b/pollen/pollenallowance/report.go
@@ -63,6 +63,8 @@
 	known    bool
 	admitted int64
 	demand   rate
+	// heardAt is when the count was reported last.
+	heardAt time.Time
 	// acknowledged is the number of this instance's admissions, and reportedDemand its demand, of which the peer knows.
 	acknowledged   int64
 	reportedDemand rate
@@ -149,7 +151,7 @@
 // review notices peers that have become silent and teams that are within their limit again. The caller must hold the mutex.
 func (a *Allowances) review(now time.Time) {
 	if now.Sub(a.seenAt) >= silenceTimeout {
-		a.noteGap(now)
+		a.gapAt = now
 	}
 	a.seenAt = now
 	if now.Before(a.reviewAt) {
@@ -175,19 +177,6 @@
 	}
 }
 
-// noteGap makes the instance adopt the tokens that its peers know of with their next reports: it was frozen or idle, and can't tell at
-// which times the admissions that they report were refilled.
-func (a *Allowances) noteGap(now time.Time) {
-	for _, s := range a.teams {
-		s.knownSince = now
-	}
-	for _, p := range a.peers {
-		for _, u := range p.uses {
-			u.known = false
-		}
-	}
-}
-
 // withhold leaves to a silent peer its share of the tokens, as the peer knows them, and keeps one token in any case.
 func (a *Allowances) withhold(s *team, p *peer) {
 	u := p.use(s.name)
@@ -264,14 +253,19 @@
 		a.noteDemand(now)
 		u.demand = rate{perSecond: used.Demand, asOf: now}
 	}
-	if !u.known && startedAt.Before(s.knownSince) {
+	admitted := used.Admitted - u.admitted
+	switch {
+	case !u.known && startedAt.Before(s.createdAt):
 		// The count includes admissions from before this instance knew the team; the peer's tokens show what is left.
 		s.level, s.full = min(s.level, used.Level), min(s.full, used.Level)
-	} else {
-		admitted := used.Admitted - u.admitted
+	case u.heardAt.Before(a.gapAt):
+		s.level, s.full = min(s.level, used.Level), min(s.full, used.Level)
+		s.uses.add(a.config.Window, true, int(admitted), now)
+	default:
 		a.add(s, -float64(admitted))
 		s.uses.add(a.config.Window, true, int(admitted), now)
 	}
+	u.heardAt = now
 	u.known, u.admitted = true, used.Admitted
 	a.limitLevel(s)
 }
