--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -45,8 +45,8 @@
 	isolationTimeout = 3 * time.Second
 	// activePeriod is how long reports go on after the last request of a limited team.
 	activePeriod = 30 * time.Second
-	// usableExcess is the part of overshoot and slack that is planned with. The rest covers admissions that an instance took to its
-	// grave unreported.
+	// usableExcess is the part of overshoot and slack that is planned with. The rest covers admissions of instances that
+	// end before they have reported them.
 	usableExcess = 0.85
 	// graceShare is the part of overshoot and slack by which the bucket is larger than the burst, so that admissions which are charged
 	// late do not cause refusals within rate and burst.
