Show operators a team's use at all instances and the spread of requests

Cause: GET /teams showed only what one instance has served, although quotas hold over all instances, and the counts of the ranking were not exported. Change: the field UsedByAll and its column in pollenctl teams; the counters pollen_choices_total, pollen_choices_longer_queue_total, pollen_sheds_total. Result: TestTeamsAreCountedAndListed and the test of pollenctl expect the field.

--- a/pollen/pollenteam/usage.go
+++ b/pollen/pollenteam/usage.go
@@ -13,7 +13,10 @@
 	PerSecond float64
 	Burst     float64
 	// Used is the number of requests of the team that this instance has served in the last WindowSeconds.
-	Used          int
+	Used int
+	// UsedByAll is the number of requests of a team with a limit that all instances have admitted in that time, as far as this one
+	// knows.
+	UsedByAll     int
 	WindowSeconds float64
 }
 
--- a/pollenctl/teams.go
+++ b/pollenctl/teams.go
@@ -78,7 +78,7 @@
 // printTeams writes a table of teams; a limit or priority that a team does not have is "-".
 func printTeams(w io.Writer, teams []pollenteam.Status) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "Name\tPriority\tPer second\tBurst\tUsed\tWindow")
+	fmt.Fprintln(table, "Name\tPriority\tPer second\tBurst\tUsed\tBy all\tWindow")
 	for _, t := range teams {
 		priority, rate, burst := "-", "-", "-"
 		if t.Priority != nil {
@@ -87,7 +87,7 @@
 		if t.PerSecond > 0 {
 			rate, burst = fmt.Sprint(t.PerSecond), fmt.Sprint(t.Burst)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%vs\n", t.Name, priority, rate, burst, t.Used, t.WindowSeconds)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%vs\n", t.Name, priority, rate, burst, t.Used, t.UsedByAll, t.WindowSeconds)
 	}
 	return table.Flush()
 }
--- a/pollenctl/teams_test.go
+++ b/pollenctl/teams_test.go
@@ -17,7 +17,7 @@
 		if r.URL.Path != "/teams" {
 			w.WriteHeader(http.StatusNotFound)
 		}
-		_, err := w.Write([]byte(`[{"Name":"a","Priority":1,"PerSecond":18,"Burst":20,"Used":7,"WindowSeconds":5},{"Name":"b","Priority":null}]`))
+		_, err := w.Write([]byte(`[{"Name":"a","Priority":1,"PerSecond":18,"Burst":20,"Used":7,"UsedByAll":30,"WindowSeconds":5},{"Name":"b","Priority":null}]`))
 		c.Check(err, qt.IsNil)
 	}))
 	defer server.Close()
@@ -25,5 +25,5 @@
 	c.Assert(err, qt.IsNil)
 	var text strings.Builder
 	c.Assert(printTeams(&text, teams), qt.IsNil)
-	c.Assert(text.String(), qt.Equals, "Name  Priority  Per second  Burst  Used  Window\na     1         18          20     7     5s\nb     -         -           -      0     0s\n")
+	c.Assert(text.String(), qt.Equals, "Name  Priority  Per second  Burst  Used  By all  Window\na     1         18          20     7     30      5s\nb     -         -           -      0     0       0s\n")
 }
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -181,7 +181,7 @@
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
-	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) })
+	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) }, f.ranking.Counts)
 	f.allowances = pollenallowance.New(pollenallowance.Config{
 		InstanceName: settings.Name, Incarnation: f.self.Incarnation, Start: time.Now(), Observer: f.metrics,
 		Window: settings.QuotaWindow.Std(), Overshoot: settings.QuotaOvershoot, Slack: settings.QuotaSlack,
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
+	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenteam"
 )
 
@@ -30,8 +31,9 @@
 const teamUsageWindow = 5 * time.Second
 
 // newMetrics returns the collectors; limitedServers returns the number of servers that state a limit, refusedContents that
-// of the contents of which requests are refused, and heldBack that of the servers that get no requests, by reason.
-func newMetrics(limitedServers, refusedContents func() int, heldBack func() pollengate.Counts) *metrics {
+// of the contents of which requests are refused, heldBack that of the servers that get no requests, by reason, and spread how evenly
+// requests were spread over servers.
+func newMetrics(limitedServers, refusedContents func() int, heldBack func() pollengate.Counts, spread func() pollenrank.Counts) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -63,10 +65,16 @@
 	}, func() float64 { return float64(refusedContents()) }), &heldBackCollector{
 		count: heldBack,
 		desc:  prometheus.NewDesc("pollen_held_back_servers", "Backend servers that may not be sent a request now, by reason.", []string{"reason"}, nil),
-	})
+	}, newSpreadCounter("pollen_choices_total", "Choices of a server among several.", func() int { return spread().Choices }),
+		newSpreadCounter("pollen_choices_longer_queue_total", "Choices of a server with more of this instance's requests in flight per slot than another.", func() int { return spread().LongerQueue }),
+		newSpreadCounter("pollen_sheds_total", "Requests that servers have shed.", func() int { return spread().Sheds }))
 	return m
 }
 
+func newSpreadCounter(name, help string, count func() int) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(count()) })
+}
+
 // heldBackCollector counts the servers that get no requests when the metrics are read.
 type heldBackCollector struct {
 	count func() pollengate.Counts
--- a/pollenentry/pollenfront/operator.go
+++ b/pollenentry/pollenfront/operator.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollensuspect"
 	"pollenline.example/pollen/pollenteam"
@@ -39,17 +40,21 @@
 		teams = configuration.Teams
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(teamStatuses(teams, f.metrics.teamUsage, time.Now())); err != nil {
+	if err := json.NewEncoder(w).Encode(teamStatuses(teams, f.metrics.teamUsage, f.allowances.Usage(time.Now()), time.Now())); err != nil {
 		klog.V(1).InfoS("Writing the list of teams failed", "err", err)
 	}
 }
 
 // teamStatuses describes teams with what they have used.
-func teamStatuses(teams []*pollencatalog.Team, usage *pollenteam.Usage, now time.Time) []pollenteam.Status {
+func teamStatuses(teams []*pollencatalog.Team, usage *pollenteam.Usage, limited []pollenallowance.Usage, now time.Time) []pollenteam.Status {
+	admitted := make(map[string]int, len(limited))
+	for _, u := range limited {
+		admitted[u.Name] = u.Admitted
+	}
 	list := []pollenteam.Status{}
 	for _, team := range teams {
 		status := pollenteam.Status{
-			Name: team.Name, PerSecond: team.PerSecond, Burst: team.Burst, Used: usage.Used(team.Name, now), WindowSeconds: usage.Window().Seconds(),
+			Name: team.Name, PerSecond: team.PerSecond, Burst: team.Burst, Used: usage.Used(team.Name, now), UsedByAll: admitted[team.Name], WindowSeconds: usage.Window().Seconds(),
 		}
 		if !team.RoutePriority {
 			status.Priority = &team.Priority
--- a/pollenentry/pollenfront/team_test.go
+++ b/pollenentry/pollenfront/team_test.go
@@ -8,14 +8,16 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
+	"pollenline.example/pollen/pollenrank"
 )
 
 // Guards against metrics that mix up teams or count what has not run as use, and against keys in what operators see.
 func TestTeamsAreCountedAndListed(t *testing.T) {
 	c := qt.New(t)
-	m := newMetrics(func() int { return 0 }, func() int { return 0 }, func() pollengate.Counts { return pollengate.Counts{} })
+	m := newMetrics(func() int { return 0 }, func() int { return 0 }, func() pollengate.Counts { return pollengate.Counts{} }, func() pollenrank.Counts { return pollenrank.Counts{} })
 	for _, o := range []struct {
 		team   string
 		status int
@@ -37,10 +39,10 @@
 	configuration.SetTeams([]pollencatalog.StatedTeam{
 		{Team: pollencatalog.Team{Name: "a", Priority: 1, PerSecond: 18, Burst: 20}, Keys: []string{"hidden"}}, {Team: pollencatalog.Team{Name: "b", RoutePriority: true}},
 	})
-	data, err := json.Marshal(teamStatuses(configuration.Teams, m.teamUsage, time.Now()))
+	data, err := json.Marshal(teamStatuses(configuration.Teams, m.teamUsage, []pollenallowance.Usage{{Name: "a", Admitted: 9}}, time.Now()))
 	c.Assert(err, qt.IsNil)
-	c.Assert(string(data), qt.Equals, `[{"Name":"a","Priority":1,"PerSecond":18,"Burst":20,"Used":3,"WindowSeconds":5},{"Name":"b","Priority":null,"PerSecond":0,"Burst":0,"Used":1,"WindowSeconds":5}]`)
-	data, err = json.Marshal(teamStatuses(nil, m.teamUsage, time.Now()))
+	c.Assert(string(data), qt.Equals, `[{"Name":"a","Priority":1,"PerSecond":18,"Burst":20,"Used":3,"UsedByAll":9,"WindowSeconds":5},{"Name":"b","Priority":null,"PerSecond":0,"Burst":0,"Used":1,"UsedByAll":0,"WindowSeconds":5}]`)
+	data, err = json.Marshal(teamStatuses(nil, m.teamUsage, nil, time.Now()))
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(data), qt.Equals, "[]")
 }
