Explain where a request of a route would go now, without sending it

Cause: operators could see what became of a request, but not where the next one would go and why. Change: Forwarder.Place runs the decisions over servers on the state as it is; GET /placement at the metrics address and pollenctl placement show it, as a table or as JSON. Quotas and evidence against contents are not part of it.

--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -168,7 +168,7 @@
 		if !found || bestCold != cold {
 			total = 0
 		}
-		weight := math.Pow(r.expectedCost(route, candidate, s, now).Seconds(), -latencyExponent)
+		weight := r.weight(route, candidate, s, now)
 		total += weight
 		if !found || bestCold != cold || r.random.Float64()*total < weight {
 			best, bestCold, bestQueue = i, cold, queue
@@ -184,6 +184,11 @@
 	return best, found
 }
 
+// weight returns the weight with which a server is drawn: the faster of two gets most requests.
+func (r *Ranking) weight(route string, candidate *pollencatalog.Server, s *server, now time.Time) float64 {
+	return math.Pow(r.expectedCost(route, candidate, s, now).Seconds(), -latencyExponent)
+}
+
 // Start records that a request of a route is sent to a server, and returns its observation.
 func (r *Ranking) Start(route string, candidate *pollencatalog.Server, now time.Time) *Observation {
 	r.mu.Lock()
@@ -343,12 +348,14 @@
 	key := candidate.Incarnation()
 	s, ok := r.servers[key]
 	if !ok {
-		s = &server{latencyRatio: 1, inFlight: make(map[*Observation]struct{})}
+		s = newServer()
 		r.servers[key] = s
 	}
 	return s
 }
 
+func newServer() *server { return &server{latencyRatio: 1, inFlight: make(map[*Observation]struct{})} }
+
 // sketch returns the latencies of a route's answers, which it adds if there are none. The caller must hold the mutex.
 func (r *Ranking) sketch(route string) *pollenquantile.Sketch {
 	sketch, ok := r.routes[route]
--- a/pollenctl/main.go
+++ b/pollenctl/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	os.Exit(pollencommand.Main(slices.Concat(callerCommands(), operatorCommands(), teamCommands())...))
+	os.Exit(pollencommand.Main(slices.Concat(callerCommands(), operatorCommands(), teamCommands(), placementCommands())...))
 }
 
 // addressFlag declares the -address flag.
--- a/pollenctl/teams.go
+++ b/pollenctl/teams.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"pollenline.example/pollen/pollencommand"
@@ -36,9 +37,13 @@
 type StatusError struct {
 	URL    string
 	Status string
+	// Text is the begin of the answer's body.
+	Text string
 }
 
-func (e *StatusError) Error() string { return fmt.Sprintf("%s answers with %s", e.URL, e.Status) }
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answers with %s: %s", e.URL, e.Status, e.Text)
+}
 
 func (o *teamOptions) list(ctx context.Context) error {
 	if err := requireAddress(o.address); err != nil {
@@ -46,33 +51,39 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorCallTimeout)
 	defer cancel()
-	teams, err := fetchTeams(ctx, o.address)
-	if err != nil {
+	var teams []pollenteam.Status
+	if err := fetch(ctx, o.address, "/teams", &teams); err != nil {
 		return err
 	}
 	return printTeams(os.Stdout, teams)
 }
 
-// fetchTeams returns the teams of the configuration that is in force at an instance.
-func fetchTeams(ctx context.Context, address netip.AddrPort) ([]pollenteam.Status, error) {
-	url := "http://" + address.String() + "/teams"
+// maxErrorBytes bounds what is shown of the body of an error.
+const maxErrorBytes = 300
+
+// fetch decodes what an instance answers under a path of its metrics address.
+func fetch(ctx context.Context, address netip.AddrPort, path string, answer any) error {
+	url := "http://" + address.String() + path
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, fmt.Errorf("teams: %w", err)
+		return fmt.Errorf("%s: %w", url, err)
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return nil, fmt.Errorf("teams: %w", err)
+		return fmt.Errorf("%s: %w", url, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, &StatusError{URL: url, Status: response.Status}
+		text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+		if err != nil {
+			return fmt.Errorf("%s: %w", url, err)
+		}
+		return &StatusError{URL: url, Status: response.Status, Text: strings.TrimSpace(string(text))}
 	}
-	var teams []pollenteam.Status
-	if err := json.NewDecoder(response.Body).Decode(&teams); err != nil {
-		return nil, fmt.Errorf("%s: %w", url, err)
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return fmt.Errorf("%s: %w", url, err)
 	}
-	return teams, nil
+	return nil
 }
 
 // printTeams writes a table of teams; a limit or priority that a team does not have is "-".
--- a/pollenctl/teams_test.go
+++ b/pollenctl/teams_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenteam"
 )
 
 // Guards against a command that reads another form of the teams than instances write.
@@ -21,8 +23,8 @@
 		c.Check(err, qt.IsNil)
 	}))
 	defer server.Close()
-	teams, err := fetchTeams(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()))
-	c.Assert(err, qt.IsNil)
+	var teams []pollenteam.Status
+	c.Assert(fetch(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), "/teams", &teams), qt.IsNil)
 	var text strings.Builder
 	c.Assert(printTeams(&text, teams), qt.IsNil)
 	c.Assert(text.String(), qt.Equals, "Name  Priority  Per second  Burst  Used  By all  Window\na     1         18          20     7     30      5s\nb     -         -           -      0     0       0s\n")
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -67,6 +67,7 @@
 	peers     *pollenreach.Peers
 	peerPool  *pollenpool.Pool
 	exchanger *pollenplatform.Exchanger
+	forwarder *pollenforward.Forwarder
 	// probing is set during a round of probes.
 	probing   atomic.Bool
 	sharer    *pollenrelay.Sharer
@@ -246,7 +247,7 @@
 
 func (f *Frontend) newIngress() http.Handler {
 	f.exchanger = pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, MaxAnswerBytes: maxAnswerBytes})
-	forwarder := pollenforward.New(pollenforward.Config{
+	f.forwarder = pollenforward.New(pollenforward.Config{
 		Exchanger:             f.exchanger,
 		Reach:                 f.reach,
 		Passer:                pollenplatform.NewPasser(pollenplatform.PasserConfig{Pool: f.peerPool, Connections: peerConnections, MaxReplyBytes: maxAnswerBytes}),
@@ -266,7 +267,7 @@
 		Splitter:              &pollenforward.Splitter{},
 	})
 	return pollenplatform.NewIngress(pollenplatform.IngressConfig{
-		Forwarder: forwarder, Observer: f.metrics, Memory: f.memory, Table: f.view.Table, Quota: f.allowances, Draining: f.draining.Load, ConfigurationStale: f.viewStale.Load,
+		Forwarder: f.forwarder, Observer: f.metrics, Memory: f.memory, Table: f.view.Table, Quota: f.allowances, Draining: f.draining.Load, ConfigurationStale: f.viewStale.Load,
 	})
 }
 
--- a/pollenentry/pollenfront/operator.go
+++ b/pollenentry/pollenfront/operator.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -28,6 +30,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /teams", f.listTeams)
+	mux.HandleFunc("GET /placement", f.showPlacement)
 	mux.HandleFunc("GET /refused", f.listRefused)
 	mux.HandleFunc("DELETE /refused/{content}", f.liftRefusal)
 	return mux
@@ -45,6 +48,25 @@
 	}
 }
 
+// showPlacement answers where a request of the route that the query names would go now.
+func (f *Frontend) showPlacement(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Query().Get("route")
+	configuration := f.view.Table().Configuration()
+	if configuration == nil {
+		http.Error(w, "no configuration is known yet", http.StatusServiceUnavailable)
+		return
+	}
+	n := slices.IndexFunc(configuration.Routes, func(route *pollencatalog.Route) bool { return route.Name == name })
+	if n < 0 {
+		http.Error(w, fmt.Sprintf("no route %q in version %d", name, configuration.Version), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(f.forwarder.Place(configuration.Routes[n], time.Now())); err != nil {
+		klog.V(1).InfoS("Writing a placement failed", "err", err)
+	}
+}
+
 // teamStatuses describes teams with what they have used.
 func teamStatuses(teams []*pollencatalog.Team, usage *pollenteam.Usage, limited []pollenallowance.Usage, now time.Time) []pollenteam.Status {
 	admitted := make(map[string]int, len(limited))
