Filter servers by version once on the way of a request

Cause: candidates are filtered by admittedServers, and NextSend of the gate asked the rollout router again for each of them, which lists all servers of the service each time. Check asked twice. Change: only Check and the test of siblings ask for versions; the end of a pause is looked for among admitted servers. A server that is paused or limited and of a version that is not admitted is now counted under the first of these reasons, as the order of the reasons says.

--- a/pollen/pollenforward/heldback.go
+++ b/pollen/pollenforward/heldback.go
@@ -9,6 +9,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
+	"pollenline.example/pollen/pollenrollout"
 )
 
 // recordAnnouncements records whether an answer of the server itself says that it leaves or wants no requests for a time. At the end
@@ -93,12 +94,13 @@
 		at     time.Time
 		reason pollengate.Reason
 	}
+	table := c.forwarder.config.Table()
 	openings := make([]opening, 0, len(c.subrequests))
 	for i := range c.subrequests {
 		var first *opening
-		for _, server := range c.forwarder.config.Table().AppendEligible(nil, c.subrequests[i].service) {
+		for _, server := range c.admittedServers(table, c.subrequests[i].service, pollenrollout.Any, now) {
 			at, reason := c.forwarder.config.Gate.NextSend(server, now, now)
-			if reason == pollengate.Leaving || reason == pollengate.VersionNotAdmitted || c.forwarder.config.Ranking.Ejected(server, now) {
+			if reason == pollengate.Leaving || c.forwarder.config.Ranking.Ejected(server, now) {
 				continue
 			}
 			if first == nil || at.Before(first.at) {
--- a/pollen/pollengate/gate.go
+++ b/pollen/pollengate/gate.go
@@ -202,17 +202,13 @@
 }
 
 // NextSend returns the earliest time at which the server's statements allow a request that its caller sent at sentAt, and the
-// reason if that is later than now. The time has no meaning if the reason is Leaving or VersionNotAdmitted, whose end is not known.
+// reason if that is later than now. The time has no meaning if the reason is Leaving, whose end is not known.
 func (g *Gate) NextSend(server *pollencatalog.Server, sentAt, now time.Time) (time.Time, Reason) {
-	table := g.config.Table()
 	next, reason := g.nextByAnnouncement(server, sentAt, now)
 	if reason == Leaving {
 		return next, reason
 	}
-	if g.config.Versions != nil && !g.config.Versions.Admits(server, table, now) {
-		return now, VersionNotAdmitted
-	}
-	if allowed := g.config.Limits.NextSend(server, table, now); allowed.After(next) {
+	if allowed := g.config.Limits.NextSend(server, g.config.Table(), now); allowed.After(next) {
 		next = allowed
 		if reason == None {
 			reason = Limited
@@ -224,7 +220,7 @@
 // MaySendBy reports whether the server's statements allow a request that its caller sent at sentAt now or by a time.
 func (g *Gate) MaySendBy(server *pollencatalog.Server, sentAt, now, by time.Time) bool {
 	next, reason := g.NextSend(server, sentAt, now)
-	return reason != Leaving && reason != VersionNotAdmitted && (!next.After(now) || !next.After(by))
+	return reason != Leaving && (!next.After(now) || !next.After(by))
 }
 
 // Check returns why a server may not be sent a request now that its caller sent at sentAt, or None. It changes no state.
