Use what exists instead of second copies

Change: Table.ServersOf and pollencatalog.FirstByRank serve all; the rest is removed, hoisted or moved. Tests call the remaining names.

--- a/pollen/pollenallowance/allowance.go
+++ b/pollen/pollenallowance/allowance.go
@@ -95,7 +95,6 @@
 // team is the state of one limited team.
 type team struct {
 	name                 string
-	priority             int
 	perSecond, burst     float64
 	createdAt, settledAt time.Time
 	// level is the number of tokens after all known admissions; it is negative after simultaneous admissions.
@@ -133,7 +132,9 @@
 	a.settle(s, now)
 	s.demand.add(1, now)
 	retryAfter, ok = a.tryAcquire(s, now)
-	s.uses.add(a.config.Window, ok, 1, now)
+	if ok {
+		s.uses.add(a.config.Window, 1, now)
+	}
 	a.mu.Unlock()
 	if a.config.Observer != nil {
 		a.config.Observer.ObserveQuota(t.Name, ok)
@@ -189,7 +190,7 @@
 	s.admitted--
 	a.sequence++
 	s.changedAt = a.sequence
-	s.uses.add(a.config.Window, true, -1, now)
+	s.uses.add(a.config.Window, -1, now)
 }
 
 // SetTable adopts the teams and the registered instances of a table.
@@ -242,7 +243,6 @@
 		s.perSecond, s.burst = t.PerSecond, t.Burst
 		a.limitLevel(s)
 	}
-	s.priority = t.Priority
 	return s
 }
 
@@ -370,7 +370,7 @@
 // noteRefusal logs the first refusal after a time within the limit.
 func (a *Allowances) noteRefusal(s *team, now time.Time) {
 	if s.overSince.IsZero() {
-		klog.InfoS("Team over its limit, requests are refused", "team", s.name, "perSecond", s.perSecond, "burst", s.burst, "admitted", s.uses.sum(a.config.Window, true, now))
+		klog.InfoS("Team over its limit, requests are refused", "team", s.name, "perSecond", s.perSecond, "burst", s.burst, "admitted", s.uses.sum(a.config.Window, now))
 		s.overSince, s.refused = now, 0
 	}
 	s.refusedAt = now
--- a/pollen/pollenallowance/report.go
+++ b/pollen/pollenallowance/report.go
@@ -260,10 +260,10 @@
 		s.level, s.full = min(s.level, used.Level), min(s.full, used.Level)
 	case u.heardAt.Before(a.gapAt):
 		s.level, s.full = min(s.level, used.Level), min(s.full, used.Level)
-		s.uses.add(a.config.Window, true, int(admitted), now)
+		s.uses.add(a.config.Window, int(admitted), now)
 	default:
 		a.add(s, -float64(admitted))
-		s.uses.add(a.config.Window, true, int(admitted), now)
+		s.uses.add(a.config.Window, int(admitted), now)
 	}
 	u.heardAt = now
 	u.known, u.admitted = true, used.Admitted
--- a/pollen/pollenallowance/usage.go
+++ b/pollen/pollenallowance/usage.go
@@ -7,14 +7,11 @@
 	"time"
 )
 
-// Usage is the limit of one team and its use in the last window.
+// Usage is the use of one team in the last window.
 type Usage struct {
-	Name             string
-	Priority         int
-	PerSecond, Burst float64
-	// Admitted counts requests at all instances, as far as this one knows; Refused those that this instance refused.
-	Admitted, Refused int
-	Window            time.Duration
+	Name string
+	// Admitted counts requests at all instances, as far as this one knows.
+	Admitted int
 }
 
 // Usage returns the use of all limited teams, ordered by name.
@@ -23,10 +20,7 @@
 	defer a.mu.Unlock()
 	list := make([]Usage, 0, len(a.teams))
 	for _, s := range a.teams {
-		list = append(list, Usage{
-			Name: s.name, Priority: s.priority, PerSecond: s.perSecond, Burst: s.burst, Window: a.config.Window,
-			Admitted: s.uses.sum(a.config.Window, true, now), Refused: s.uses.sum(a.config.Window, false, now),
-		})
+		list = append(list, Usage{Name: s.name, Admitted: s.uses.sum(a.config.Window, now)})
 	}
 	slices.SortFunc(list, func(a, b Usage) int { return cmp.Compare(a.Name, b.Name) })
 	return list
@@ -35,11 +29,11 @@
 // usePeriods is the number of periods into which a window is divided to count its requests.
 const usePeriods = 10
 
-// uses counts requests in the periods of the last window.
+// uses counts admissions in the periods of the last window.
 type uses struct {
 	periods [usePeriods]struct {
-		number            int64
-		admitted, refused int
+		number   int64
+		admitted int
 	}
 }
 
@@ -47,29 +41,21 @@
 	return now.UnixNano() / max(1, int64(window/usePeriods))
 }
 
-func (u *uses) add(window time.Duration, admitted bool, n int, now time.Time) {
+func (u *uses) add(window time.Duration, n int, now time.Time) {
 	number := periodNumber(window, now)
 	p := &u.periods[number%usePeriods]
 	if p.number != number {
-		p.number, p.admitted, p.refused = number, 0, 0
-	}
-	if admitted {
-		p.admitted += n
-	} else {
-		p.refused += n
+		p.number, p.admitted = number, 0
 	}
+	p.admitted += n
 }
 
-func (u *uses) sum(window time.Duration, admitted bool, now time.Time) int {
+func (u *uses) sum(window time.Duration, now time.Time) int {
 	oldest := periodNumber(window, now) - usePeriods + 1
 	total := 0
 	for _, p := range u.periods {
-		switch {
-		case p.number < oldest:
-		case admitted:
+		if p.number >= oldest {
 			total += p.admitted
-		default:
-			total += p.refused
 		}
 	}
 	return max(0, total)
--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -114,8 +114,19 @@
 }
 
 // SenderRank orders instances as senders to the server by rendezvous hashing: the one with the highest rank comes first.
-func (s *Server) SenderRank(instanceName string) uint64 {
-	return xxhash.Sum64String(instanceName + "/" + s.ID)
+func (s *Server) SenderRank(instanceName string) uint64 { return rank(instanceName, s.ID) }
+
+func rank(instanceName, key string) uint64 { return xxhash.Sum64String(instanceName + "/" + key) }
+
+// FirstByRank returns the instance that comes first for a key by rendezvous hashing, or false if there are no instances.
+func FirstByRank(instances []Instance, key string) (first Instance, ok bool) {
+	highest := uint64(0)
+	for _, i := range instances {
+		if r := rank(i.Name, key); !ok || r > highest {
+			first, highest, ok = i, r, true
+		}
+	}
+	return first, ok
 }
 
 // Instance describes an entry instance of this system. Its fields are stored as JSON under their Go names.
--- a/pollen/pollencatalog/rollout.go
+++ b/pollen/pollencatalog/rollout.go
@@ -1,6 +1,7 @@
 package pollencatalog
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -71,11 +72,7 @@
 
 // Services returns the names of the services that have servers, in no particular order.
 func (t *Table) Services() []string {
-	services := make([]string, 0, len(t.servers))
-	for service := range t.servers {
-		services = append(services, service)
-	}
-	return services
+	return slices.Collect(maps.Keys(t.servers))
 }
 
 // indexRollouts returns the rollouts by service, and the services in order.
@@ -91,10 +88,5 @@
 		r.State = s
 		rollouts[s.Service] = r
 	}
-	services := make([]string, 0, len(rollouts))
-	for service := range rollouts {
-		services = append(services, service)
-	}
-	slices.Sort(services)
-	return rollouts, services
+	return rollouts, slices.Sorted(maps.Keys(rollouts))
 }
--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -102,11 +102,6 @@
 	return servers
 }
 
-// AppendServers appends all servers of a service to servers.
-func (t *Table) AppendServers(servers []*Server, service string) []*Server {
-	return append(servers, t.servers[service]...)
-}
-
 // Eligible reports whether a server may get new requests: it is not draining and its zone is not evacuated.
 func (t *Table) Eligible(s *Server) bool { return !s.Draining && !t.evacuatedZones[s.Zone] }
 
--- a/pollen/pollenforward/crash_test.go
+++ b/pollen/pollenforward/crash_test.go
@@ -342,7 +342,7 @@
 				c := qt.New(t)
 				h := newCrashHarness(t, true)
 				f := h.forwarders[0]
-				server := f.config.Table().AppendServers(nil, service(0))[0]
+				server := f.config.Table().ServersOf(service(0))[0]
 				f.config.Gate.RecordAnswer(server, leaving, 0, time.Now())
 				h.exchanger.end(server.ID)
 				request := ServerRequest{Request: &Request{ID: "r", Content: content("/same", "a", "body")}, Server: server, ConnectionLimit: 1}
--- a/pollen/pollenforward/heldback.go
+++ b/pollen/pollenforward/heldback.go
@@ -125,10 +125,8 @@
 	if !errors.As(err, &refused) {
 		return
 	}
-	var servers []*pollencatalog.Server
 	for i := range c.subrequests {
-		servers = c.forwarder.config.Table().AppendServers(servers[:0], c.subrequests[i].service)
-		for _, server := range servers {
+		for _, server := range c.forwarder.config.Table().ServersOf(c.subrequests[i].service) {
 			c.stats.HeldBack[c.forwarder.config.Gate.Check(server, c.request.Received, now)]++
 		}
 	}
--- a/pollen/pollenforward/heldback_test.go
+++ b/pollen/pollenforward/heldback_test.go
@@ -209,7 +209,7 @@
 				h := newHarness(len(test.pauses), 1000)
 				now := time.Now()
 				for i, pause := range test.pauses {
-					for _, server := range h.table.AppendServers(nil, service(i)) {
+					for _, server := range h.table.ServersOf(service(i)) {
 						h.forwarder.recordAnnouncements(server, nil, &NotRunError{Status: 503, RetryAfter: pause}, now)
 					}
 				}
@@ -268,7 +268,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(reply.Leaving, qt.IsNil)
 		leaving := 0
-		for _, server := range h.table.AppendServers(nil, service(0)) {
+		for _, server := range h.table.ServersOf(service(0)) {
 			if h.forwarder.config.Gate.IsLeaving(server) {
 				leaving++
 				c.Assert(reply.Signature, qt.Equals, "by "+server.ID)
@@ -302,7 +302,7 @@
 			})
 		}
 		time.Sleep(5 * time.Millisecond)
-		for _, server := range h.table.AppendServers(nil, service(0)) {
+		for _, server := range h.table.ServersOf(service(0)) {
 			h.forwarder.recordAnnouncements(server, nil, &NotRunError{Status: 503, RetryAfter: 10 * time.Second}, time.Now())
 		}
 		wg.Wait()
--- a/pollen/pollenhttp/request.go
+++ b/pollen/pollenhttp/request.go
@@ -18,7 +18,7 @@
 
 func (e *TargetError) Error() string { return fmt.Sprintf("request target %q is not a path", e.Target) }
 
-// RequestConfig describes an outgoing config.
+// RequestConfig describes an outgoing request.
 type RequestConfig struct {
 	Method  string
 	Address netip.AddrPort
--- a/pollen/pollenramp/limiter.go
+++ b/pollen/pollenramp/limiter.go
@@ -114,11 +114,6 @@
 
 // Sender returns the name of the instance that sends to a server while it is cold, empty if there are no instances.
 func Sender(instances []pollencatalog.Instance, server *pollencatalog.Server) string {
-	name, highest := "", uint64(0)
-	for _, i := range instances {
-		if rank := server.SenderRank(i.Name); name == "" || rank > highest {
-			name, highest = i.Name, rank
-		}
-	}
-	return name
+	first, _ := pollencatalog.FirstByRank(instances, server.ID)
+	return first.Name
 }
--- a/pollen/pollenrollout/evidence.go
+++ b/pollen/pollenrollout/evidence.go
@@ -253,7 +253,7 @@
 	}
 	d.updatedAt = now
 	var all Pair
-	for _, route := range sortedKeys(counts) {
+	for _, route := range slices.Sorted(maps.Keys(counts)) {
 		pair := counts[route].clone()
 		all.add(pair)
 		d.updateRoute(route, pair, tests, fade)
@@ -291,11 +291,11 @@
 		share := r.failureShare()
 		switch {
 		case t.above == 0:
-			for _, server := range sortedKeys(target.Target) {
+			for _, server := range slices.Sorted(maps.Keys(target.Target)) {
 				observations = append(observations, observation{server, target.Target[server].Failures, target.Target[server].Requests})
 			}
 		case compared:
-			for _, server := range sortedKeys(r.uncompared) {
+			for _, server := range slices.Sorted(maps.Keys(r.uncompared)) {
 				counts := r.uncompared[server]
 				bad, all := counts.above(class + t.above)
 				observations = append(observations, observation{server, bad, all})
@@ -364,11 +364,13 @@
 // Former returns what was counted for the former versions in total.
 func (d *Detector) Former() pollencatalog.RolloutEvidence { return d.former }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
+// forgive holds nothing against the target any more, and keeps what was counted.
+func (d *Detector) forgive() {
+	d.finding = ""
+	for _, route := range d.routes {
+		for i := range route.sums {
+			route.sums[i] = sum{}
+			clear(route.without[i])
+		}
 	}
-	slices.Sort(keys)
-	return keys
 }
--- a/pollen/pollenrollout/message.go
+++ b/pollen/pollenrollout/message.go
@@ -1,11 +1,8 @@
 package pollenrollout
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenline.example/pollen/pollencatalog"
 )
 
@@ -37,19 +34,7 @@
 
 // DriverOf returns the instance that drives the rollout of a service: the first by rendezvous hashing.
 func DriverOf(service string, instances []pollencatalog.Instance) (pollencatalog.Instance, bool) {
-	if len(instances) == 0 {
-		return pollencatalog.Instance{}, false
-	}
-	return slices.MaxFunc(instances, func(a, b pollencatalog.Instance) int {
-		x, y := xxhash.Sum64String(a.Name+"/"+service), xxhash.Sum64String(b.Name+"/"+service)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	}), true
+	return pollencatalog.FirstByRank(instances, service)
 }
 
 // ReportInterval is the time between two reports of an instance, and between two decisions of the driver.
--- a/pollen/pollenrollout/router.go
+++ b/pollen/pollenrollout/router.go
@@ -1,6 +1,7 @@
 package pollenrollout
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -85,13 +86,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	divided := make(map[string]*service)
+	registered := slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == r.config.Instance })
 	for _, name := range append(table.Services(), table.RolloutServices()...) {
 		s, ok := r.services[name]
 		if !ok {
 			s = &service{}
 			r.services[name] = s
 		}
-		if r.observeService(s, name, table, now) {
+		if r.observeService(s, name, table, registered, now) {
 			divided[name] = s
 		}
 	}
@@ -99,7 +101,7 @@
 }
 
 // observeService takes a new table for one service, and reports whether its servers must be told apart.
-func (r *Router) observeService(s *service, name string, table *pollencatalog.Table, now time.Time) bool {
+func (r *Router) observeService(s *service, name string, table *pollencatalog.Table, registered bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rollout := table.Rollout(name)
@@ -107,8 +109,7 @@
 	if rollout.State != nil {
 		r.adopt(s, *rollout.State)
 	}
-	s.sharers = table.SharerCount()
-	s.registered = slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == r.config.Instance })
+	s.sharers, s.registered = table.SharerCount(), registered
 	servers := table.ServersOf(name)
 	s.learnInForce(servers)
 	s.targets, s.formers = 0, 0
@@ -423,7 +424,7 @@
 func (r *Router) Reports(now time.Time) []Report {
 	var reports []Report
 	divided := *r.divided.Load()
-	for _, name := range sortedKeys(divided) {
+	for _, name := range slices.Sorted(maps.Keys(divided)) {
 		s := divided[name]
 		s.mu.Lock()
 		if s.open() && (s.registered || s.total > 0 || s.targetsInFlight+s.formerInFlight > 0) {
@@ -466,23 +467,10 @@
 	case ruling.Stop == "" && s.stop != "" && now.Sub(s.stoppedAt) >= resumeDelay:
 		klog.InfoS("Rollout resumed here", "service", s.order.Service, "target", s.order.Target)
 		s.stop = ""
-		s.detector = resumedDetector(s)
+		s.detector.forgive()
 	}
 }
 
-// resumedDetector returns a detector that knows what was counted so far but holds nothing against the target.
-func resumedDetector(s *service) *Detector {
-	d := s.detector
-	d.finding = ""
-	for _, route := range d.routes {
-		for i := range route.sums {
-			route.sums[i] = sum{}
-			clear(route.without[i])
-		}
-	}
-	return d
-}
-
 // View returns what the Router knows of a service, for the decision.
 func (r *Router) View(name string) (inForce []string, targets, formers int, state *pollencatalog.RolloutState) {
 	r.mu.Lock()
