Let placement use the call's own bounds, and compute them once a try

Cause: Forwarder.Place worked out the bound on queues anew and left out that of other routes' objectives, so that it could report capacity that a request would not find. The bound is the same for all services of a query, and was worked out for each server choice, with a search of all shards each time.

Change: Place calls latencyBound and estimateOtherSenders; a try to start a call works the bound out once. A route without services gets an answer.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -133,11 +133,12 @@
 		needed = 1
 	}
 	chosen := make([]*pollencatalog.Server, len(c.subrequests))
+	bound := c.latencyBound(now)
 	missing, blocked := 0, 0
 	for position, i := range c.startOrder {
 		backlog := c.forwarder.backlog.count(c.subrequests[i].service)
 		if backlog == 0 {
-			if server, ok := c.chooseServer(&c.subrequests[i], now); ok {
+			if server, ok := c.chooseServer(&c.subrequests[i], bound, now); ok {
 				chosen[i] = server
 				continue
 			}
@@ -157,14 +158,17 @@
 // countOtherSenders estimates the utilization of the call's servers and returns how many other instances count when their
 // capacity is estimated.
 func (c *call) countOtherSenders(now time.Time) float64 {
-	return c.forwarder.senders.get(c.route.Name, now, func() float64 {
-		table := c.forwarder.config.Table()
-		var servers []*pollencatalog.Server
-		for i := range c.subrequests {
-			servers = append(servers, c.admittedServers(table, c.subrequests[i].service, pollenrollout.Any, now)...)
-		}
-		return c.forwarder.config.Ranking.OtherSenders(servers, len(table.Senders()), now)
-	})
+	return c.forwarder.senders.get(c.route.Name, now, func() float64 { return c.estimateOtherSenders(now) })
+}
+
+// estimateOtherSenders makes the estimate of countOtherSenders.
+func (c *call) estimateOtherSenders(now time.Time) float64 {
+	table := c.forwarder.config.Table()
+	var servers []*pollencatalog.Server
+	for i := range c.subrequests {
+		servers = append(servers, c.admittedServers(table, c.subrequests[i].service, pollenrollout.Any, now)...)
+	}
+	return c.forwarder.config.Ranking.OtherSenders(servers, len(table.Senders()), now)
 }
 
 // otherSendersAge is how long an estimate of the other senders of a route is used: short beside the time over which the
@@ -227,7 +231,7 @@
 		switch {
 		case s.answer != nil || !s.pending || !c.maySend(now):
 		case len(s.attempts) == 0:
-			server, _ := c.chooseServer(s, now)
+			server, _ := c.chooseServer(s, c.latencyBound(now), now)
 			c.sendFirst(i, server, now)
 		case s.inFlight == 0:
 			c.retry(i, now)
--- a/pollen/pollenforward/placement.go
+++ b/pollen/pollenforward/placement.go
@@ -61,17 +61,19 @@
 			names[i] = entry.Service
 		}
 	}
-	table := f.config.Table()
-	schedule := NewSchedule(ScheduleConfig{Route: route, Received: now, CallerRoundTrip: f.config.CallerRoundTrip})
-	c := &call{forwarder: f, route: route, request: &Request{Received: now}, subrequests: make([]subrequest, len(names))}
-	p := Placement{Route: route.Name, Needed: c.requiredAnswers(), NeededAtStart: c.requiredAtStart()}
-	var all []*pollencatalog.Server
-	for _, name := range names {
-		all = table.AppendEligible(all, name)
+	if len(names) == 0 {
+		return Placement{Route: route.Name, Outcome: OutcomeRefused, Reason: "the route names no service"}
 	}
-	bound := pollenrank.LatencyBound{
-		Limit: schedule.PartialReplyAt.Sub(now), Others: f.config.Ranking.OtherSenders(all, len(table.Senders()), now),
+	c := &call{
+		forwarder: f, route: route, request: &Request{Received: now}, subrequests: make([]subrequest, len(names)),
+		schedule: NewSchedule(ScheduleConfig{Route: route, Received: now, CallerRoundTrip: f.config.CallerRoundTrip}),
 	}
+	for i, name := range names {
+		c.subrequests[i].service = name
+	}
+	p := Placement{Route: route.Name, Needed: c.requiredAnswers(), NeededAtStart: c.requiredAtStart()}
+	c.otherSenders = c.estimateOtherSenders(now)
+	bound := c.latencyBound(now)
 	for _, name := range names {
 		service, available, hasCapacity := f.placeService(route, name, bound, now)
 		p.Services = append(p.Services, service)
@@ -100,7 +102,7 @@
 	service.Service = name
 	var candidates []*pollencatalog.Server
 	var positions []int
-	for i, server := range f.config.Table().AppendServers(nil, name) {
+	for i, server := range f.config.Table().ServersOf(name) {
 		s := ServerPlacement{ID: server.ID, Zone: server.Zone}
 		if reason := f.config.Gate.Check(server, now, now); reason != pollengate.None {
 			s.HeldBack = reason.String()
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -90,22 +90,22 @@
 //
 // Load pattern: every server loses a share of its answers. With two replicas, a second round on tried servers often
 // succeeds, and stays within the number of servers that may run the request.
-func (c *call) chooseServer(s *subrequest, now time.Time) (*pollencatalog.Server, bool) {
+func (c *call) chooseServer(s *subrequest, bound pollenrank.LatencyBound, now time.Time) (*pollencatalog.Server, bool) {
 	if c.risksLastServer(s, now) {
 		return nil, false
 	}
 	table := c.forwarder.config.Table()
 	choice := c.versionChoice(s, now)
-	server, ok := c.chooseAmong(table, s, c.admittedServers(table, s.service, choice, now), now)
+	server, ok := c.chooseAmong(table, s, c.admittedServers(table, s.service, choice, now), bound, now)
 	if !ok && choice == pollenrollout.FirstToTarget {
 		// The few servers of a new version are no reason to wait.
-		return c.chooseAmong(table, s, c.admittedServers(table, s.service, pollenrollout.FirstToFormer, now), now)
+		return c.chooseAmong(table, s, c.admittedServers(table, s.service, pollenrollout.FirstToFormer, now), bound, now)
 	}
 	return server, ok
 }
 
 // chooseAmong returns the best of the servers that were admitted for the next attempt, and whether it has capacity.
-func (c *call) chooseAmong(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
+func (c *call) chooseAmong(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, bound pollenrank.LatencyBound, now time.Time) (*pollencatalog.Server, bool) {
 	var untried, tried []*pollencatalog.Server
 	for _, server := range servers {
 		switch {
@@ -120,10 +120,10 @@
 		untried = nil
 		tried = slices.DeleteFunc(tried, func(server *pollencatalog.Server) bool { return !s.mayHaveRun(server) })
 	}
-	if server, ok := c.bestServer(table, s, untried, now); ok {
+	if server, ok := c.bestServer(table, s, untried, bound, now); ok {
 		return server, true
 	}
-	return c.bestServer(table, s, tried, now)
+	return c.bestServer(table, s, tried, bound, now)
 }
 
 // admittedServers returns the servers of a service that may get an attempt now.
@@ -144,7 +144,7 @@
 
 // bestServer returns the best of the servers that may be sent a request now, preferably one with an available connection, and
 // whether it has capacity.
-func (c *call) bestServer(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, now time.Time) (*pollencatalog.Server, bool) {
+func (c *call) bestServer(table *pollencatalog.Table, s *subrequest, servers []*pollencatalog.Server, bound pollenrank.LatencyBound, now time.Time) (*pollencatalog.Server, bool) {
 	servers = slices.DeleteFunc(c.sendableBy(servers, now, now), func(server *pollencatalog.Server) bool {
 		return !c.forwarder.config.ColdLimiter.Allows(server, table, now)
 	})
@@ -155,7 +155,6 @@
 			connectable = append(connectable, server)
 		}
 	}
-	bound := c.latencyBound(now)
 	for _, candidates := range [][]*pollencatalog.Server{connectable, servers} {
 		if i, ok := c.forwarder.config.Ranking.Best(c.route.Name, candidates, now); ok {
 			return candidates[i], c.forwarder.config.Ranking.HasCapacity(c.route.Name, candidates[i], bound, now)
@@ -266,7 +265,7 @@
 	if !c.route.Idempotent && s.possibleRuns > 0 {
 		return nil, retryNever
 	}
-	server, ok := c.chooseServer(s, now)
+	server, ok := c.chooseServer(s, c.latencyBound(now), now)
 	if !ok {
 		if c.hasServerBelowLimit(s, now, c.waitDeadline(now)) {
 			return nil, retryWhenCapacity
