Review case 3: a crash of the old servers hands all traffic to a bad version

Cause: with no server of the version in force listed, another version takes its place for good, and the order that follows is completed at once.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,8 +17,10 @@
 }
 
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
-	"term":  runTerm,
-	"extra": runExtra,
+	"ghost":   runGhost,
+	"version": runVersion,
+	"term":    runTerm,
+	"extra":   runExtra,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -77,6 +78,8 @@
 	record    *record
 	store     *store
 	entries   []*entry
+	// extra holds further settings of the processes.
+	extra map[string]any
 }
 
 // freePort returns a port of an address that nothing listens on.
@@ -99,6 +102,7 @@
 		"ProcessorShare": 0.4, "FirstStart": true, "MemoryMegabytes": 284, "RetryRatio": 0.2, "RetrySlack": 58, "RetryWindow": "10s",
 		"StopTimeout": "6s", "DrainNotice": "3000ms", "ConfigurationDelay": "3000ms", "LongestLifetime": "5s",
 	}
+	maps.Copy(settings, f.extra)
 	data, err := json.Marshal(settings)
 	if err != nil {
 		fail("%v", err)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,10 @@
 	work func(r *http.Request) time.Duration
 	// shed reports whether a request is rejected although there is room; nil for never.
 	shed func(id string) bool
+	// fails reports whether a request that has run is answered with a failure; nil for never.
+	fails func() bool
+	// version is the version of the software; "v1" if it is empty.
+	version string
 	// repeats reports whether an answer is sent a second time, at the point where the next one is expected; nil for never.
 	repeats func(id string, ran bool) bool
 
@@ -31,8 +36,23 @@
 	born  int64
 }
 
+// crash ends the server: its listener and connections are closed.
+func (s *server) crash() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.Close()
+	}
+}
+
 func startServer(s *server, slots, queue int) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address := "127.0.0.1:0"
+	if s.listener != nil {
+		// A server that starts again has the address that it had.
+		address = s.listener.Addr().String()
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -56,7 +76,7 @@
 // entry returns what the server writes to the store.
 func (s *server) entry(state string) map[string]any {
 	return map[string]any{
-		"backend": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": "v1", "slots": cap(s.slots), "state": state,
+		"backend": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": cmp.Or(s.version, "v1"), "slots": cap(s.slots), "state": state,
 		"warmup_left_ms": 0, "seq": 1, "born": s.born,
 	}
 }
@@ -114,9 +134,13 @@
 	work := s.work(r)
 	s.record.run(s, id, work)
 	time.Sleep(work)
+	status := "200 OK"
+	if s.fails != nil && s.fails() {
+		status = "500 Internal Server Error"
+	}
 	content := fmt.Sprintf("%s of %s answers %s", s.id, s.service, id)
-	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%d\r\nContent-Length: %d\r\n\r\n%s",
-		id, s.id, s.answers.Add(1), len(content), content), true
+	return fmt.Appendf(nil, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nServer-Stamp: %s.%d\r\nContent-Length: %d\r\n\r\n%s",
+		status, id, s.id, s.answers.Add(1), len(content), content), true
 }
 
 // acquire waits for a slot, and reports false if the queue is full.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -330,3 +330,13 @@
 const host = "desk.example"
 
 func fail(format string, a ...any) { panic(fmt.Sprintf(format, a...)) }
+
+// value returns the value of a key as text, "none" if it does not exist.
+func (s *store) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i, ok := s.items[key]; ok {
+		return string(i.Value)
+	}
+	return "none"
+}
