--- a/review/standin/extra.go
+++ b/review/platform/extra.go
@@ -28,7 +28,7 @@
 	for n := range extraServices {
 		service := fmt.Sprintf("sending%d", n)
 		services = append(services, service)
-		routes = append(routes, plainRoute("booking"+service, "/"+service+"/", "non_idempotent", service, 2, 8*time.Second, 800*time.Millisecond))
+		routes = append(routes, plainRoute("booking"+service, "/"+service+"/", "non_idempotent", service, 3, 8*time.Second, 800*time.Millisecond))
 	}
 	f.store.put("op/config", configuration(3, routes, services))
 	for n := range 2 * extraServices {
--- a/review/standin/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command standin runs one case of the review: a stand-in of the store, stand-ins of servers and clients, and processes of the entry
+// Command review-standin runs one case of the review: a stand-in of the store, stand-ins of servers and clients, and processes of the entry
 // instance. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
@@ -28,7 +28,7 @@
 
 func run() (status int) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
 		return 2
 	}
 	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
