Answer all open requests before a planned stop ends the process

Cause: the instance took every request until it closed its listener at 0.7 of the stop timeout, whatever time it needed, and nothing told open requests of the exit at 0.93.

Change: pollendrain decides which requests a stopping instance still takes. What it may not be able to answer before the exit is refused at once with Retry-After 0, before any server gets it. Open requests get their final answers at 0.9 of the stop timeout: 503 only if no server has run or will run them. Requests that wait for capacity or that another instance has are covered too. "Stopped" counts both.

The tests of the drain take the times from the plan, which replaces the constants; their bounds are the same.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -55,7 +55,9 @@
 			c.forwarder.demand.RecordArrival(team.Name, now)
 		}
 	}
-	started := c.forwarder.queue.Admit(ctx, waiting)
+	admissionCtx, cancel := c.admissionContext(ctx)
+	defer cancel()
+	started := c.forwarder.queue.Admit(admissionCtx, waiting)
 	c.stats.CallerRetry, c.stats.QueueTime = c.callerRetry, time.Since(now)
 	c.hedgeDelay = c.schedule.HedgeAt.Sub(c.request.Received)
 	// The hedge delay starts when the request leaves the queue.
@@ -67,6 +69,8 @@
 		return nil
 	case ctx.Err() != nil:
 		return &CallerDisconnectedError{}
+	case admissionCtx.Err() != nil:
+		return context.Cause(admissionCtx)
 	}
 	return &RefusedError{
 		Cause:      fmt.Sprintf("servers of too few services have room, %d of %d needed", c.requiredAnswers(), len(c.subrequests)),
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -60,6 +60,8 @@
 	heldBack error
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
+	// stopped is set once the call must end because the instance stops.
+	stopped bool
 	// lastErrorAnswer is the newest answer that did not complete its subrequest.
 	lastErrorAnswer *Answer
 }
@@ -91,6 +93,7 @@
 		return nil, err
 	}
 	lost := c.forwarder.config.Reach.Lost()
+	stopped := c.forwarder.config.Drain.Over().Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for !c.isComplete(time.Now()) {
@@ -103,6 +106,8 @@
 			c.reviewCaution(time.Now())
 		case <-timer.C:
 			c.sendHedges(time.Now())
+		case <-stopped:
+			stopped, c.stopped = nil, true
 		case <-lost:
 			lost = nil
 			if err := c.leave(); err != nil {
@@ -370,7 +375,7 @@
 
 // isComplete reports whether the call ends now: its time is over, its outcome is certain, or a partial reply is due.
 func (c *call) isComplete(now time.Time) bool {
-	if !now.Before(c.schedule.End) {
+	if c.stopped || !now.Before(c.schedule.End) {
 		return true
 	}
 	waiting := 0
@@ -396,8 +401,12 @@
 		return &Reply{Answer: *c.lastErrorAnswer}, nil
 	case harmful != nil:
 		return nil, harmful
+	case c.withdrawUnsent() && c.stopped:
+		return nil, c.stopRefusal()
 	case c.withdrawUnsent():
 		return nil, &RefusedError{Cause: "no server took the request", Unreached: c.stats.Unconnected > 0, RetryAfter: c.retryAfter(now)}
+	case c.stopped:
+		return nil, c.stoppedError()
 	case !now.Before(c.schedule.End):
 		return nil, &FailedError{Cause: "no answer in time", TimedOut: true}
 	}
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -8,6 +8,7 @@
 	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
@@ -37,6 +38,8 @@
 	Passer Passer
 	Others func() []pollencatalog.Instance
 	Peers  *pollenreach.Peers
+	// Drain tells whether this instance is stopping; if it is nil, it never does.
+	Drain *pollendrain.Drain
 	// Table returns the current table.
 	Table func() *pollencatalog.Table
 	// CallerRoundTrip is the network round-trip time between caller and instance.
@@ -78,6 +81,9 @@
 	if config.Gate == nil {
 		config.Gate = pollengate.New(pollengate.Config{Table: config.Table, Limits: config.Quotas, ColdLimits: config.ColdLimiter, Health: config.Ranking})
 	}
+	if config.Drain == nil {
+		config.Drain = pollendrain.New()
+	}
 	return &Forwarder{config: config, started: time.Now()}
 }
 
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollenreach"
 )
 
@@ -49,6 +50,9 @@
 // Load pattern: an instance loses its links to all servers while callers still reach it. Other instances reach them.
 func (c *call) serve(ctx context.Context) (*Reply, error) {
 	f := c.forwarder
+	if err := c.refuseStopping(time.Now()); err != nil {
+		return nil, err
+	}
 	if f.config.Passer == nil || c.request.Passed {
 		if c.request.Passed && f.config.Reach.CutOff() {
 			return nil, &RefusedError{Cause: "this instance reaches no servers", Unreached: true, RetryAfter: RetryAfterOutage(time.Until(c.schedule.End))}
@@ -82,7 +86,7 @@
 // any.
 func (c *call) pass(ctx context.Context, own *RefusedError, mayHaveRun bool) (*Reply, error) {
 	f := c.forwarder
-	ctx, cancel := context.WithDeadline(ctx, c.schedule.CallerDeadline)
+	ctx, cancel := c.passContext(ctx)
 	defer cancel()
 	var tried []string
 	refusal, passes := own, 0
@@ -107,7 +111,7 @@
 		}
 		switch {
 		case ctx.Err() != nil && err != nil:
-			return nil, passEnded(ctx)
+			return nil, c.passEnded(ctx)
 		case unsent != nil:
 			c.stats.LastFailure = err.Error()
 		case isRefused:
@@ -147,8 +151,12 @@
 }
 
 // passEnded returns the error of a request that ended while another instance had it.
-func passEnded(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+func (c *call) passEnded(ctx context.Context) error {
+	var stopped *pollendrain.StoppedError
+	switch {
+	case errors.As(context.Cause(ctx), &stopped):
+		return c.stoppedError()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &FailedError{Cause: "no answer of another instance in time", TimedOut: true}
 	}
 	return &CallerDisconnectedError{}
--- a/pollenentry/pollenfront/drain_test.go
+++ b/pollenentry/pollenfront/drain_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollendrain"
 )
 
 // pipeListener accepts in-memory connections that get opens.
@@ -59,8 +61,8 @@
 // A server that closes at SIGTERM fails open requests and those of callers with a cached directory answer.
 func TestDrainServesLateCallersAndOpenRequests(t *testing.T) {
 	stopTimeout := 6 * time.Second
-	minDrainTime := time.Duration(float64(stopTimeout) * lateCallerShare)
-	maxDrainTime := time.Duration(float64(stopTimeout) * exitShare)
+	plan := pollendrain.NewPlan(time.Time{}, stopTimeout)
+	minDrainTime, maxDrainTime := plan.Close.Sub(plan.Begin), plan.Exit.Sub(plan.Begin)
 	tests := []struct {
 		name string
 		// sentAt is when the request is sent, relative to the start of the drain.
@@ -97,7 +99,7 @@
 					served <- err == nil && status == 200
 				}()
 				time.Sleep(2 * time.Second)
-				err := drain(server, stopTimeout)
+				err := drain(server, pollendrain.NewPlan(time.Now(), stopTimeout))
 				drainTime := time.Since(start) - 2*time.Second
 				c.Assert(errors.Is(err, context.DeadlineExceeded), qt.Equals, drainTime > 5500*time.Millisecond)
 				// Shutdown polls for idle connections at intervals of up to 500 ms.
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -21,6 +21,7 @@
 	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollenfollow"
 	"pollenline.example/pollen/pollenforward"
 	"pollenline.example/pollen/pollengate"
@@ -82,8 +83,9 @@
 	source *pollenrelay.Source
 	// httpServers begins with the callers' server, the only one that is drained.
 	httpServers []*http.Server
-	// draining is set once the shutdown has begun.
+	// draining is set once the shutdown has begun; drain tells the requests of it.
 	draining atomic.Bool
+	drain    *pollendrain.Drain
 	// viewStale is set while the store is unreachable.
 	viewStale atomic.Bool
 	// active is set while the instance registers itself in the store; otherwise it is on standby.
@@ -179,6 +181,7 @@
 		reach:        pollenreach.NewTracker(),
 		peers:        pollenreach.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
+		drain:        pollendrain.New(),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
@@ -237,7 +240,7 @@
 	f.httpServers = []*http.Server{
 		f.newHTTPServer(settings.CallerAddress, f.newIngress()),
 		f.newHTTPServer(settings.DirectoryAddress, pollenplatform.NewDirectory(pollenplatform.DirectoryConfig{
-			Instances: f.callerInstances, TTL: min(settings.LongestLifetime.Std(), scale(settings.StopTimeout, directoryLifetimeShare)),
+			Instances: f.callerInstances, TTL: min(settings.LongestLifetime.Std(), scale(settings.StopTimeout, pollendrain.CacheShare)),
 		})),
 		f.newHTTPServer(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
 		f.newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
@@ -260,6 +263,7 @@
 		Rollouts:              f.rollouts,
 		Suspects:              f.suspects,
 		Budget:                f.retryBudget,
+		Drain:                 f.drain,
 		Table:                 f.view.Table,
 		CallerRoundTrip:       f.settings.Load().CallerTrip.Std(),
 		LateAnswerTimeout:     lateAnswerTimeout,
@@ -307,13 +311,16 @@
 	case <-ctx.Done():
 	}
 	f.draining.Store(true)
+	plan := pollendrain.NewPlan(time.Now(), f.settings.Load().StopTimeout.Std())
+	f.drain.Start(plan)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	cancelRegistration()
-	if err := drain(f.httpServers[0], f.settings.Load().StopTimeout.Std()); err != nil {
+	if err := drain(f.httpServers[0], plan); err != nil {
 		klog.ErrorS(err, "Open requests cut off at the end of the stop timeout")
 	}
 	<-unregistered
-	klog.InfoS("Stopped")
+	refused, ended := f.drain.Counts()
+	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
 	return nil
 }
 
@@ -335,24 +342,12 @@
 
 func (e *ListenError) Unwrap() error { return e.Err }
 
-const (
-	// directoryLifetimeShare is the share of the stop timeout for which callers may cache an answer of the
-	// directory; cached answers must expire before a stopping instance closes its listener.
-	directoryLifetimeShare = 0.5
-	// lateCallerShare is the share of the stop timeout during which new requests are still served; cached directory
-	// answers have expired by then.
-	lateCallerShare = 0.7
-	// exitShare is the share of the stop timeout after which the process exits even if requests are open.
-	exitShare = 0.93
-)
-
 // drain serves callers with a cached directory answer, then waits for open requests and shuts the server down.
 //
-// It returns within exitShare of the stop timeout, or after lateCallerShare if no request is open then.
-func drain(server *http.Server, stopTimeout time.Duration) error {
-	start := time.Now()
-	time.Sleep(time.Duration(float64(stopTimeout) * lateCallerShare))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(float64(stopTimeout)*exitShare)))
+// It returns at the plan's exit, or once it has closed the server if no request is open then.
+func drain(server *http.Server, plan pollendrain.Plan) error {
+	time.Sleep(time.Until(plan.Close))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.Exit)
 	defer cancel()
 	return server.Shutdown(ctx)
 }
--- a/pollenentry/pollenfront/restored_test.go
+++ b/pollenentry/pollenfront/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -64,6 +65,12 @@
 
 // startFrontend starts an instance, with changes to its settings; it ends with the test.
 func startFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort, changes ...func(*Settings)) *Frontend {
+	f, _ := startStoppableFrontend(t, c, name, store, changes...)
+	return f
+}
+
+// startStoppableFrontend is startFrontend for an instance that stops when the returned function is called.
+func startStoppableFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort, changes ...func(*Settings)) (*Frontend, func()) {
 	settings := DefaultSettings()
 	settings.Name, settings.Zone, settings.StoreAddress, settings.ProcessorShare = name, "zone-a", store, 1
 	for _, address := range []*netip.AddrPort{
@@ -80,12 +87,19 @@
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
 	stopped := make(chan error, 1)
-	go func() { stopped <- f.Run(ctx) }()
+	go func() {
+		err := f.Run(ctx)
+		// The end of a process closes its connections.
+		for _, server := range f.httpServers {
+			err = errors.Join(err, server.Close())
+		}
+		stopped <- err
+	}()
 	t.Cleanup(func() {
 		cancel()
 		qt.Check(t, <-stopped, qt.IsNil)
 	})
-	return f
+	return f, cancel
 }
 
 // waitFor waits until a condition holds and fails the test if it does not within a time.
