Send no attempt of a request over a connection that has carried it

Cause: all attempts of a request bear its caller's ID, and the connection of a rejected attempt was handed out first again. When the server sends the rejection a second time, late, the copy stands before the answer to the next attempt of the same request and has the right ID: the attempt counts as not run. Ruled out: answers of other requests (their IDs are compared), and retries of what may have run (none without repeated answers).

Change: a request knows the connections that have carried it, and the pool gives it none of them again. Where only such connections are left at the limit, one is closed for a new one. The own interface is not affected: there each send has an ID of its own.

--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -10,6 +10,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollengate"
+	"pollenline.example/pollen/pollenpool"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenramp"
 	"pollenline.example/pollen/pollenrank"
@@ -101,6 +102,9 @@
 	if !route.Sharded() {
 		services = []string{f.config.Splitter.Choose(route)}
 	}
+	if request.Connections == nil {
+		request.Connections = &pollenpool.History{}
+	}
 	c := &call{
 		forwarder: f,
 		route:     route,
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -10,6 +10,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenmemory"
+	"pollenline.example/pollen/pollenpool"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollensuspect"
 )
@@ -39,6 +40,8 @@
 	Passed bool
 	// AttemptsUsed is the number of servers of one service that may have run the request for the instance that has passed it on.
 	AttemptsUsed int
+	// Connections holds the connections that have carried the request; no attempt may use one again. Serve sets it if it is nil.
+	Connections *pollenpool.History
 	// Memory counts the bodies that are held for the request; the servers' answers are read on it.
 	Memory *pollenmemory.Account
 }
--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -40,12 +40,19 @@
 	idle []*Conn
 	// openConns counts all connections, also those that are idle or being opened.
 	openConns int
-	// waiting holds a channel for each Get that waits for a connection, longest first.
-	waiting []chan *Conn
+	// waiting holds each Get that waits for a connection, longest first.
+	waiting []*waiter
 	// refusedUntil is when a new connection may be opened again after the server has refused one.
 	refusedUntil time.Time
 }
 
+// waiter is a Get that waits for a connection.
+type waiter struct {
+	// conn has a buffer for one connection, so that a send never blocks. It receives nil if the Get may open a connection.
+	conn    chan *Conn
+	history *History
+}
+
 // Conn is a connection that one request holds until it calls Put or Discard.
 type Conn struct {
 	*http.ClientConn
@@ -121,21 +128,25 @@
 	bufferBytes = 2 << 10
 )
 
-// Get returns an idle connection to a server, or opens one if fewer than limit are open, or waits for one.
+// Get returns an idle connection to a server, or opens one if fewer than limit are open, or waits for one. It returns none that the
+// request's history holds, and adds the one that it returns.
 //
 // Its errors are *LimitError and *DialError.
-func (p *Pool) Get(ctx context.Context, address netip.AddrPort, limit int) (*Conn, error) {
-	conn, waiter := p.reserve(address, limit)
+func (p *Pool) Get(ctx context.Context, address netip.AddrPort, limit int, history *History) (*Conn, error) {
+	conn, waiter := p.reserve(address, limit, history)
+	var err error
 	if waiter != nil {
-		var err error
 		if conn, err = p.wait(ctx, address, limit, waiter); err != nil {
 			return nil, err
 		}
 	}
-	if conn != nil {
-		return conn, nil
+	if conn == nil {
+		if conn, err = p.open(ctx, address); err != nil {
+			return nil, err
+		}
 	}
-	return p.open(ctx, address)
+	history.add(conn)
+	return conn, nil
 }
 
 // open opens a connection that the host already counts.
@@ -151,20 +162,20 @@
 }
 
 // wait returns a connection that another request releases, or nil without an error if the caller may open one.
-func (p *Pool) wait(ctx context.Context, address netip.AddrPort, limit int, waiter chan *Conn) (*Conn, error) {
+func (p *Pool) wait(ctx context.Context, address netip.AddrPort, limit int, w *waiter) (*Conn, error) {
 	select {
-	case conn := <-waiter:
+	case conn := <-w.conn:
 		return conn, nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	h := p.host(address)
 	before := len(h.waiting)
-	h.waiting = slices.DeleteFunc(h.waiting, func(w chan *Conn) bool { return w == waiter })
+	h.waiting = slices.DeleteFunc(h.waiting, func(other *waiter) bool { return other == w })
 	handedOver := len(h.waiting) == before
 	p.mu.Unlock()
 	if handedOver {
-		if conn := <-waiter; conn != nil {
+		if conn := <-w.conn; conn != nil {
 			conn.putUntil(conn.idleDeadline)
 		} else {
 			p.releaseConn(address)
@@ -247,26 +258,32 @@
 	c.putUntil(time.Now().Add(idleTimeout))
 }
 
-// putUntil passes the connection to the longest waiting Get, or keeps it idle until the deadline.
+// putUntil passes the connection to the longest waiting Get whose request it has not carried, or keeps it idle until the deadline. If
+// it has carried the requests of all that wait, it is closed, and the longest waiting one opens another.
 func (c *Conn) putUntil(deadline time.Time) {
 	c.idleDeadline, c.idleSince = deadline, time.Now()
-	p := c.pool
+	if !c.pool.handOver(c) {
+		c.Discard()
+	}
+}
+
+// handOver passes a connection to a Get that waits or keeps it idle, and reports false if none of those that wait can use it.
+func (p *Pool) handOver(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(c.address)
-	if len(h.waiting) > 0 {
-		h.nextWaiter() <- c
-		return
+	if len(h.waiting) == 0 {
+		h.idle = append(h.idle, c)
+		return true
 	}
-	h.idle = append(h.idle, c)
-}
-
-// nextWaiter removes and returns the channel that has waited longest. It has a buffer for one connection, so that a send
-// never blocks.
-func (h *host) nextWaiter() chan *Conn {
-	waiter := h.waiting[0]
-	h.waiting = h.waiting[1:]
-	return waiter
+	for i, w := range h.waiting {
+		if !w.history.holds(c) {
+			h.waiting = slices.Delete(h.waiting, i, i+1)
+			w.conn <- c
+			return true
+		}
+	}
+	return false
 }
 
 // Discard closes a connection that must not be used again.
@@ -298,8 +315,9 @@
 	}
 }
 
-// reserve returns a usable idle connection, or the channel to wait on, or neither if the caller may open a connection.
-func (p *Pool) reserve(address netip.AddrPort, limit int) (*Conn, chan *Conn) {
+// reserve returns a usable idle connection that the history does not hold, or the waiter to wait on, or neither if the caller may open
+// a connection.
+func (p *Pool) reserve(address netip.AddrPort, limit int, history *History) (*Conn, *waiter) {
 	now := time.Now()
 	var expired []*Conn
 	defer func() {
@@ -310,18 +328,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(address)
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
-		if c.isUsable(now) {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		usable := c.isUsable(now)
+		if usable && history.holds(c) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		if usable {
 			return c, nil
 		}
 		expired = append(expired, c)
 	}
+	if h.openConns-len(expired) >= limit && len(h.idle) > 0 {
+		// Only connections that have carried the request are idle: one is closed for the new one.
+		expired = append(expired, h.idle[0])
+		h.idle = h.idle[1:]
+	}
 	if h.openConns-len(expired) >= limit {
-		waiter := make(chan *Conn, 1)
-		h.waiting = append(h.waiting, waiter)
-		return nil, waiter
+		w := &waiter{conn: make(chan *Conn, 1), history: history}
+		h.waiting = append(h.waiting, w)
+		return nil, w
 	}
 	h.openConns++
 	return nil, nil
@@ -334,7 +361,8 @@
 	defer p.mu.Unlock()
 	h := p.host(address)
 	if len(h.waiting) > 0 {
-		h.nextWaiter() <- nil
+		h.waiting[0].conn <- nil
+		h.waiting = h.waiting[1:]
 		return
 	}
 	h.openConns--
--- a/pollen/pollenpool/pool_test.go
+++ b/pollen/pollenpool/pool_test.go
@@ -34,7 +34,7 @@
 
 // get returns a connection to the server, and fails the test if there is none.
 func get(t *testing.T, p *Pool, limit int) *Conn {
-	conn, err := p.Get(t.Context(), server, limit)
+	conn, err := p.Get(t.Context(), server, limit, nil)
 	qt.Assert(t, err, qt.IsNil)
 	return conn
 }
@@ -83,7 +83,7 @@
 		held := get(t, p, 1)
 		order := make(chan string, 2)
 		wait := func(name string, put bool) {
-			conn, err := p.Get(t.Context(), server, 1)
+			conn, err := p.Get(t.Context(), server, 1, nil)
 			c.Check(err, qt.IsNil)
 			order <- name
 			if put {
@@ -107,6 +107,58 @@
 	})
 }
 
+// Guards against a request that gets a connection which has carried it, and against one that waits for ever because only such a
+// connection is left at the limit.
+func TestRequestGetsNoConnectionTwice(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit int
+		// busy is set if the connection is in use when the request asks again; other is set if another request waits behind it.
+		busy, other bool
+	}{
+		{name: "below the limit", limit: 2},
+		{name: "at the limit", limit: 1},
+		{name: "at the limit, in use", limit: 1, busy: true},
+		{name: "at the limit, in use, another request waits", limit: 1, busy: true, other: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p, dials := newPipePool()
+				history := &History{}
+				first, err := p.Get(t.Context(), server, test.limit, history)
+				c.Assert(err, qt.IsNil)
+				if !test.busy {
+					first.Put(0)
+				}
+				second := make(chan *Conn, 1)
+				go func() {
+					conn, err := p.Get(t.Context(), server, test.limit, history)
+					c.Check(err, qt.IsNil)
+					second <- conn
+				}()
+				synctest.Wait()
+				if test.other {
+					go func() { get(t, p, test.limit).Put(0) }()
+					synctest.Wait()
+				}
+				if test.busy {
+					first.Put(0)
+				}
+				conn := <-second
+				c.Assert(conn != first, qt.IsTrue)
+				c.Assert(*dials, qt.Equals, 2)
+				synctest.Wait()
+				c.Assert(p.hosts[server].openConns <= test.limit, qt.IsTrue)
+				conn.Put(0)
+				p.Retain(map[netip.AddrPort]bool{})
+				c.Assert(p.hosts, qt.HasLen, 0)
+			})
+		})
+	}
+}
+
 // A wait must end with its context, and must not keep the connection that is released later.
 func TestWaitEndsWithContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -115,7 +167,7 @@
 		held := get(t, p, 1)
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
-		_, err := p.Get(ctx, server, 1)
+		_, err := p.Get(ctx, server, 1, nil)
 		c.Assert(err, qt.ErrorAs, new(*LimitError))
 		held.Discard()
 		c.Assert(p.Available(server, 1), qt.IsTrue)
