--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -1,6 +1,7 @@
 package pollenview
 
 import (
+	"maps"
 	"reflect"
 	"sync/atomic"
 	"time"
@@ -72,7 +73,10 @@
 	// configuration is the newest one that was read; it remains in force if its key is deleted.
 	configuration *pollencatalog.Configuration
 	// keys holds the state of all other keys that the view uses.
-	keys             map[string]*keyState
+	keys map[string]*keyState
+	// unreadable holds the reasons why keys can't be read, unreadableCount their number as of the newest table.
+	unreadable       map[string]string
+	unreadableCount  atomic.Int32
 	storeUnavailable bool
 	// recoveredAt is the end of the last outage of the store; zero if there was none.
 	recoveredAt time.Time
@@ -92,11 +96,14 @@
 
 // New returns a view without keys, whose table is empty.
 func New(config Config) *View {
-	v := &View{config: config, keys: make(map[string]*keyState), departedAt: make(map[string]time.Time), restore: newRestoreState()}
+	v := &View{config: config, keys: make(map[string]*keyState), unreadable: make(map[string]string), departedAt: make(map[string]time.Time), restore: newRestoreState()}
 	v.table.Store(pollencatalog.NewTable(pollencatalog.TableConfig{}))
 	return v
 }
 
+// UnreadableKeys returns the number of keys of the latest table's store that can't be read; it may be called from any goroutine.
+func (v *View) UnreadableKeys() int { return int(v.unreadableCount.Load()) }
+
 // Table returns the latest table; it may be called from any goroutine.
 func (v *View) Table() *pollencatalog.Table { return v.table.Load() }
 
@@ -148,6 +155,7 @@
 		listed[entry.Key] = true
 		v.putListedKey(entry, now)
 	}
+	maps.DeleteFunc(v.unreadable, func(key, _ string) bool { return !listed[key] })
 	for key, k := range v.keys {
 		switch {
 		case listed[key]:
@@ -176,9 +184,16 @@
 
 // putRecord applies an entry that was decoded into a record, or not because of err.
 func (v *View) putRecord(entry pollenstore.Entry, record Record, err error) {
+	if err == nil {
+		delete(v.unreadable, entry.Key)
+	}
 	switch {
 	case err != nil:
-		klog.ErrorS(err, "Key is not readable", "key", entry.Key, "revision", entry.Version)
+		// Each listing has the key again.
+		if reason := err.Error(); v.unreadable[entry.Key] != reason {
+			klog.ErrorS(err, "Key is not readable", "key", entry.Key, "revision", entry.Version)
+			v.unreadable[entry.Key] = reason
+		}
 		delete(v.keys, entry.Key)
 	case record.Configuration != nil:
 		v.adoptConfiguration(record.Configuration)
@@ -207,6 +222,7 @@
 // removeKey deletes a key, or marks it missing while its owner may still write it again after an outage. The key of an
 // evacuated zone is always deleted, as an operator writes it and its deletion ends the evacuation.
 func (v *View) removeKey(key string, now time.Time) {
+	delete(v.unreadable, key)
 	k, ok := v.keys[key]
 	if !ok {
 		return
@@ -285,6 +301,7 @@
 		v.config.BeforePublish(table)
 	}
 	v.table.Store(table)
+	v.unreadableCount.Store(int32(len(v.unreadable)))
 	if v.config.OnPublish != nil {
 		v.config.OnPublish(table)
 	}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -220,6 +220,7 @@
 	f.view = pollenview.New(pollenview.Config{
 		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, BeforePublish: f.observeVersions, OnPublish: f.onPublish,
 	})
+	f.metrics.countUnreadableKeys(f.view.UnreadableKeys)
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
 		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -71,6 +71,13 @@
 	return m
 }
 
+// countUnreadableKeys adds the number of keys of the store that can't be read.
+func (m *metrics) countUnreadableKeys(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pollen_unreadable_keys", Help: "Keys of the store that name nothing, as they can't be read.",
+	}, func() float64 { return float64(count()) }))
+}
+
 func newSpreadCounter(name, help string, count func() int) prometheus.Collector {
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(count()) })
 }
