--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -25,6 +25,7 @@
 	serverSlots        = 3
 	serverQueue        = 12
 	serverWorkTime     = 8 * time.Millisecond
+	longWorkTime       = 2400 * time.Millisecond
 	serverRecords      = 8
 	serverHeartbeat    = 500 * time.Millisecond
 	serviceConnections = 40
@@ -52,6 +53,9 @@
 // plainServices are the services without shards.
 var plainServices = []string{"plain-x", "plain-y"}
 
+// longService is the service without shards whose requests take longWorkTime.
+const longService = "long"
+
 // entryInstance is an entry instance's process, its addresses, and the proxy through which it reaches the store.
 type entryInstance struct {
 	number           int
@@ -169,7 +173,7 @@
 
 // start starts the servers, deploys the first configuration, starts the instances and waits until all of them are ready.
 func (c *cluster) start(ctx context.Context) error {
-	for _, service := range append(c.shards(0), plainServices...) {
+	for _, service := range append(c.shards(0), append(plainServices, longService)...) {
 		if err := c.addServerPerZone(service); err != nil {
 			return err
 		}
@@ -249,16 +253,19 @@
 }
 
 func (c *cluster) addServer(service, zone string) error {
-	records := serverRecords
+	records, work := serverRecords, serverWorkTime
 	if service == plainServices[0] || service == plainServices[1] {
 		records = 0
 	}
+	if service == longService {
+		records, work = 0, longWorkTime
+	}
 	c.mu.Lock()
 	c.serverCount++
 	id := fmt.Sprintf("i-%04d", c.serverCount)
 	c.mu.Unlock()
 	server, err := pollenfakeplatform.StartServer(pollenfakeplatform.ServerConfig{
-		ID: id, Service: service, Zone: zone, Slots: serverSlots, QueueLength: serverQueue, MeanWork: serverWorkTime, AnswerRecords: records,
+		ID: id, Service: service, Zone: zone, Slots: serverSlots, QueueLength: serverQueue, MeanWork: work, AnswerRecords: records,
 		Store: c.store, Ledger: c.ledger, HeartbeatInterval: serverHeartbeat, OnDeadly: c.endServer,
 	})
 	if err != nil {
@@ -346,6 +353,7 @@
 	pathPlain  = "/plain/"
 	pathMoving = "/moving/"
 	pathOnce   = "/once/"
+	pathLong   = "/long/"
 )
 
 func (c *cluster) configuration() pollenfakeplatform.Configuration {
@@ -356,15 +364,16 @@
 	plain := pollenfakeplatform.Route{
 		Host: routeHost, Idempotent: true, Timeout: 2 * time.Second, Objective: 150 * time.Millisecond, Attempts: 2,
 	}
-	query, plainX, movingRoute, once := plain, plain, plain, plain
+	query, plainX, movingRoute, once, long := plain, plain, plain, plain, plain
 	query.Name, query.Prefix, query.Shards, query.TopK, query.MinimumCoverage = "query", pathQuery, c.shards(c.shardGeneration), 5, 0.75
 	plainX.Name, plainX.Prefix, plainX.Service = "plain", pathPlain, plainServices[0]
 	movingRoute.Name, movingRoute.Prefix, movingRoute.Service, movingRoute.Attempts = "moving", pathMoving, moving, 1
 	movingRoute.Public = true
 	once.Name, once.Prefix, once.Service, once.Idempotent = "once", pathOnce, plainServices[1], false
-	services := append(c.shards(c.shardGeneration), plainServices...)
+	long.Name, long.Prefix, long.Service, long.Idempotent, long.Timeout, long.Objective = "long", pathLong, longService, false, longTimeout, longTimeout/2
+	services := append(c.shards(c.shardGeneration), append(plainServices, longService)...)
 	return pollenfakeplatform.Configuration{
-		Version: c.version, Routes: []pollenfakeplatform.Route{query, plainX, movingRoute, once}, Services: services, Connections: serviceConnections,
+		Version: c.version, Routes: []pollenfakeplatform.Route{query, plainX, movingRoute, once, long}, Services: services, Connections: serviceConnections,
 		Teams: slices.Clone(c.teams),
 	}
 }
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -70,6 +70,10 @@
 	// meanCallerInterval is the mean pause of one caller between requests.
 	meanCallerInterval = 60 * time.Millisecond
 	callerTimeout      = 2 * time.Second
+	// longCallers is the number of callers of long requests. They pause for up to longCallerPause between requests.
+	longCallers     = 8
+	longCallerPause = 5 * time.Second
+	longTimeout     = 15 * time.Second
 	// deadlyShare is the share of requests that come from a deadly caller while there is one.
 	deadlyShare = 0.03
 	// badKeyShare is the share of requests with no key, an unknown one or one that may have been removed, and claimedTeamShare that
@@ -125,6 +129,9 @@
 	for n := range config.Callers {
 		callers.Go(func() { c.runCaller(callersCtx, n, config.Seed) })
 	}
+	for n := range longCallers {
+		callers.Go(func() { c.runLongCaller(callersCtx, config.Callers+n, config.Seed) })
+	}
 	if err := c.injectFaults(ctx, plan, config.Output); err != nil {
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
 	}
@@ -220,6 +227,24 @@
 	}
 }
 
+// runLongCaller sends long requests that may run once only, and uses a connection until its instance closes it.
+func (c *cluster) runLongCaller(ctx context.Context, number int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(number)+2))
+	caller := &pollenfakeplatform.Caller{Directories: c.directories(), Pick: random.IntN, KeepConnection: true}
+	defer caller.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		request := pollenfakeplatform.Request{
+			ID: fmt.Sprintf("%x-%x-%x", seed, number, n), Method: http.MethodPost, Host: routeHost, Path: pathLong, Timeout: longTimeout,
+		}
+		request.Body, request.Key = "reserve "+request.ID, *c.currentKeys[number%teamCount].Load()
+		c.record.addOutcome(caller.Send(ctx, request))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(random.Int64N(int64(longCallerPause)))):
+		}
+	}
+}
+
 // chooseKey sets the key of a request of a team's caller.
 func (c *cluster) chooseKey(request *pollenfakeplatform.Request, team int, random *rand.Rand) {
 	request.Key = *c.currentKeys[team].Load()
