Test of open requests at a stop: the instance is cut off from the start

The case in which another instance has the requests failed in at least four of 30 runs with the race detector: with servers that can't be reached, some requests waited for capacity when the stop began, and were rightly refused.

--- a/pollen/pollenforward/drain_test.go
+++ b/pollen/pollenforward/drain_test.go
@@ -44,7 +44,7 @@
 				drain := pollendrain.New()
 				h.forwarder.config.Drain = drain
 				if test.cutOff {
-					h.setAll(0, behaviour{err: &UnsentError{Unconnected: true, Err: errReset}})
+					h.forwarder.config.Reach = lostTracker()
 					h.forwarder.config.Passer, h.forwarder.config.Peers = hangingPasser{}, pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2)))
 					h.forwarder.config.Others = func() []pollencatalog.Instance { return []pollencatalog.Instance{{Name: "entry-2", Ready: true}} }
 				}
