Start the reviews of a test's instances once all of them exist

The race detector reported newPassFleet, which appended to the lists of instances that the reviews of the first ones were reading already; only the test was at fault.

--- a/pollen/pollenforward/pass_test.go
+++ b/pollen/pollenforward/pass_test.go
@@ -190,6 +190,8 @@
 			Budget: pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}),
 			Table:  func() *pollencatalog.Table { return f.table }, Splitter: &Splitter{},
 		}))
+	}
+	for i := range passInstances {
 		go f.review(ctx, i)
 	}
 	return f
