Leave more time for the final answers of a stop

Cause: final answers were due at 0.9 of the stop timeout and the exit at 0.93 of it, which leaves 60 ms at the test's timeout of 2 s and 180 ms at 6 s; an instance that gets little processor time takes longer to send them.

Change: the final answers are due at 0.85, within the last sixth in which the platform excuses long work. The test's timeout is 4 s, its times are scaled, and it checks the same.

--- a/pollen/pollendrain/plan.go
+++ b/pollen/pollendrain/plan.go
@@ -8,8 +8,9 @@
 	CacheShare = 0.5
 	// closeShare leaves callers who ask the directory late time to connect.
 	closeShare = 0.7
-	// lastAnswerShare leaves time to send the final answers of all open requests before the exit.
-	lastAnswerShare = 0.9
+	// lastAnswerShare leaves time to send the final answers of all open requests before the exit, also on an instance that gets little
+	// processor time.
+	lastAnswerShare = 0.85
 	exitShare       = 0.93
 )
 
--- a/pollenentry/pollenfront/stop_test.go
+++ b/pollenentry/pollenfront/stop_test.go
@@ -17,7 +17,7 @@
 // Guards against a stopping instance that passes requests on to sound servers and ends their connections without an answer when it
 // exits. Callers send them late on kept connections, or before the stop, and the servers take longer than the instance has left.
 func TestStopEndsNoRequestWithoutAnswer(t *testing.T) {
-	const stopTimeout = 2 * time.Second
+	const stopTimeout = 4 * time.Second
 	tests := []struct {
 		name       string
 		idempotent bool
@@ -28,10 +28,10 @@
 		// refused is set if all requests must be refused without having run.
 		refused bool
 	}{
-		{name: "runs once, after the directory's answers have expired", sentAfter: 1300 * time.Millisecond, slowFactor: 50, refused: true},
-		{name: "runs once, while callers may use the instance", sentAfter: 700 * time.Millisecond, slowFactor: 100},
-		{name: "runs once, before the stop", sentAfter: -100 * time.Millisecond, slowFactor: 400},
-		{name: "idempotent, late", idempotent: true, sentAfter: 1300 * time.Millisecond, slowFactor: 100},
+		{name: "runs once, after the directory's answers have expired", sentAfter: 2600 * time.Millisecond, slowFactor: 100, refused: true},
+		{name: "runs once, while callers may use the instance", sentAfter: 1400 * time.Millisecond, slowFactor: 200},
+		{name: "runs once, before the stop", sentAfter: -100 * time.Millisecond, slowFactor: 800},
+		{name: "idempotent, late", idempotent: true, sentAfter: 2600 * time.Millisecond, slowFactor: 200},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
