Read a route's latencies for the stop only while the instance stops

Each request paid for a quantile of its route's latencies, under the ranking's mutex, although only a stopping instance uses it. The decisions are the same: an instance without a plan refuses nothing, as before.

--- a/pollen/pollendrain/drain.go
+++ b/pollen/pollendrain/drain.go
@@ -32,10 +32,12 @@
 	time.AfterFunc(time.Until(plan.LastAnswer), d.end)
 }
 
-// Refuses reports whether the instance is stopping and does not take a request that has not been sent to a server.
-func (d *Drain) Refuses(r Request, now time.Time) bool {
-	plan := d.plan.Load()
-	return plan != nil && !plan.Takes(r, now)
+// Plan returns the times of the stop, or false if the instance is not stopping.
+func (d *Drain) Plan() (Plan, bool) {
+	if plan := d.plan.Load(); plan != nil {
+		return *plan, true
+	}
+	return Plan{}, false
 }
 
 // Begun returns a context that is done once the stop has begun.
--- a/pollen/pollenforward/drain.go
+++ b/pollen/pollenforward/drain.go
@@ -12,10 +12,15 @@
 
 // refuseStopping returns a *RefusedError if the instance is stopping and does not take the call. Another instance can take it at once.
 func (c *call) refuseStopping(now time.Time) error {
-	if !c.forwarder.config.Drain.Refuses(pollendrain.Request{
+	plan, stopping := c.forwarder.config.Drain.Plan()
+	if !stopping {
+		return nil
+	}
+	request := pollendrain.Request{
 		Idempotent: c.route.Idempotent, End: c.schedule.End,
 		LongestLatency: c.forwarder.config.Ranking.LatencyQuantile(c.route.Name, longestQuantile),
-	}, now) {
+	}
+	if plan.Takes(request, now) {
 		return nil
 	}
 	return c.stopRefusal()
