--- a/pollen/pollenpool/pool.go
+++ b/pollen/pollenpool/pool.go
@@ -133,10 +133,10 @@
 //
 // Its errors are *LimitError and *DialError.
 func (p *Pool) Get(ctx context.Context, address netip.AddrPort, limit int, history *History) (*Conn, error) {
-	conn, waiter := p.reserve(address, limit, history)
+	conn, w := p.reserve(address, limit, history)
 	var err error
-	if waiter != nil {
-		if conn, err = p.wait(ctx, address, limit, waiter); err != nil {
+	if w != nil {
+		if conn, err = p.wait(ctx, address, limit, w); err != nil {
 			return nil, err
 		}
 	}
