--- a/pollen/pollendrain/drain.go
+++ b/pollen/pollendrain/drain.go
@@ -40,6 +40,9 @@
 	return Plan{}, false
 }
 
+// Stopping reports whether the stop has begun.
+func (d *Drain) Stopping() bool { return d.plan.Load() != nil }
+
 // Begun returns a context that is done once the stop has begun.
 func (d *Drain) Begun() context.Context { return d.begun }
 
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -83,9 +83,8 @@
 	source *pollenrelay.Source
 	// httpServers begins with the callers' server, the only one that is drained.
 	httpServers []*http.Server
-	// draining is set once the shutdown has begun; drain tells the requests of it.
-	draining atomic.Bool
-	drain    *pollendrain.Drain
+	// drain tells whether the shutdown has begun.
+	drain *pollendrain.Drain
 	// viewStale is set while the store is unreachable.
 	viewStale atomic.Bool
 	// active is set while the instance registers itself in the store; otherwise it is on standby.
@@ -272,7 +271,7 @@
 		Splitter:              &pollenforward.Splitter{},
 	})
 	return pollenplatform.NewIngress(pollenplatform.IngressConfig{
-		Forwarder: f.forwarder, Observer: f.metrics, Memory: f.memory, Table: f.view.Table, Quota: f.allowances, Draining: f.draining.Load, ConfigurationStale: f.viewStale.Load,
+		Forwarder: f.forwarder, Observer: f.metrics, Memory: f.memory, Table: f.view.Table, Quota: f.allowances, Draining: f.drain.Stopping, ConfigurationStale: f.viewStale.Load,
 	})
 }
 
@@ -311,7 +310,6 @@
 		return err
 	case <-ctx.Done():
 	}
-	f.draining.Store(true)
 	plan := pollendrain.NewPlan(time.Now(), f.settings.Load().StopTimeout.Std())
 	f.drain.Start(plan)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
@@ -417,7 +415,7 @@
 
 // ready reports whether new callers may be sent to this instance.
 func (f *Frontend) ready() bool {
-	return !f.draining.Load() && f.view.Table().Configuration() != nil
+	return !f.drain.Stopping() && f.view.Table().Configuration() != nil
 }
 
 // registeredValue returns the value of this instance's key in the store.
