Name the requests that are open when a stopping instance exits

The line at the exit said that requests were cut off, but not how many, which, how old, or what they waited for, and it was also written when only connections without a request were left. It could not tell an exit that comes too early from final answers that come too late, nor either from no loss at all. Open requests are now listed by the Drain with their stage; the exit logs the ten oldest, and writes an informational line if there is none.

--- a/pollen/pollendrain/drain.go
+++ b/pollen/pollendrain/drain.go
@@ -15,6 +15,7 @@
 	end   context.CancelFunc
 	// refused and ended count the requests that were refused and those that got their final answer early.
 	refused, ended atomic.Int64
+	open           OpenRequests
 }
 
 // New returns the Drain of an instance that is not stopping.
@@ -43,6 +44,9 @@
 // Stopping reports whether the stop has begun.
 func (d *Drain) Stopping() bool { return d.plan.Load() != nil }
 
+// Open returns the open requests of the instance.
+func (d *Drain) Open() *OpenRequests { return &d.open }
+
 // Begun returns a context that is done once the stop has begun.
 func (d *Drain) Begun() context.Context { return d.begun }
 
--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollenquota"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenreach"
@@ -18,10 +19,12 @@
 
 // call holds the state of one caller request while its subrequests run.
 type call struct {
-	forwarder   *Forwarder
-	route       *pollencatalog.Route
-	request     *Request
-	stats       *Stats
+	forwarder *Forwarder
+	route     *pollencatalog.Route
+	request   *Request
+	stats     *Stats
+	// open is the call's entry among the open requests.
+	open        *pollendrain.OpenRequest
 	schedule    Schedule
 	subrequests []subrequest
 	// results is buffered for every attempt that the call may make, so that exchanges never block on it.
@@ -92,6 +95,7 @@
 	if err := c.admit(ctx, time.Now()); err != nil {
 		return nil, err
 	}
+	c.open.SetStage(pollendrain.Sent)
 	lost := c.forwarder.config.Reach.Lost()
 	stopped := c.forwarder.config.Drain.Over().Done()
 	timer := time.NewTimer(0)
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -125,6 +125,8 @@
 		c.subrequests[i].service = service
 	}
 	f.active.record(route, c.schedule.PartialReplyAt.Sub(request.Received), request.Received)
+	c.open = f.config.Drain.Open().Add(request.ID, request.Received)
+	defer f.config.Drain.Open().Remove(c.open)
 	reply, err := c.serve(ctx)
 	if err != nil {
 		c.recordHeldBack(err, time.Now())
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -86,6 +86,7 @@
 // any.
 func (c *call) pass(ctx context.Context, own *RefusedError, mayHaveRun bool) (*Reply, error) {
 	f := c.forwarder
+	c.open.SetStage(pollendrain.Passed)
 	ctx, cancel := c.passContext(ctx)
 	defer cancel()
 	var tried []string
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -314,15 +314,32 @@
 	f.drain.Start(plan)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	cancelRegistration()
-	if err := drain(f.httpServers[0], plan); err != nil {
-		klog.ErrorS(err, "Open requests cut off at the end of the stop timeout")
-	}
+	err = drain(f.httpServers[0], plan)
+	f.logCutOff(err)
 	<-unregistered
 	refused, ended := f.drain.Counts()
 	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
 	return nil
 }
 
+// maxLoggedRequests bounds the requests that the log names when the process exits.
+const maxLoggedRequests = 10
+
+// logCutOff logs the requests that are still open when the process exits, if any; err says why the callers' server is not closed.
+func (f *Frontend) logCutOff(err error) {
+	open := f.drain.Open().List()
+	if len(open) == 0 {
+		if err != nil {
+			klog.InfoS("Connections closed at the end of the stop timeout that had no request, or whose answer was being written", "cause", err.Error())
+		}
+		return
+	}
+	klog.ErrorS(err, "Open requests cut off at the end of the stop timeout", "open", len(open))
+	for _, r := range open[:min(len(open), maxLoggedRequests)] {
+		klog.ErrorS(nil, "Request cut off", "requestID", r.ID, "stage", r.Stage().String(), "ageMs", time.Since(r.Received).Milliseconds())
+	}
+}
+
 // Reload applies the settings that can change at run time, and logs whether others changed that need a restart.
 func (f *Frontend) Reload(settings *Settings) {
 	previous := f.settings.Swap(settings)
