Answer callers who have connected when a stopping instance closes its listener

Seen by callers: a request that is sent in the round trip after the listener has been closed, on a connection that was opened just before, ends with the connection and without an answer; one that may run once only may not even be repeated, as it has been read. Cause: from the call of http.Server.Shutdown on, net/http closes each connection on which it has read a request. The stop called it together with closing the listener, 1.4 s before the exit. Change: the instance closes the listener, then the connections that are idle or have been open for a second without a request, and shuts the server down once no connection is in use. A request that is read while its connection is closed is not forwarded.

--- a/pollenentry/pollenfront/drain_test.go
+++ b/pollenentry/pollenfront/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 type pipeListener struct {
 	conns  chan net.Conn
 	closed chan struct{}
+	once   sync.Once
 }
 
 func (l *pipeListener) Accept() (net.Conn, error) {
@@ -32,14 +34,14 @@
 }
 
 func (l *pipeListener) Close() error {
-	close(l.closed)
+	l.once.Do(func() { close(l.closed) })
 	return nil
 }
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// get sends one request on a new connection and returns the status code of the response.
-func (l *pipeListener) get(path string) (int, error) {
+// get opens a connection, sends one request on it after a pause and returns the status code of the response.
+func (l *pipeListener) get(path string, pause time.Duration) (int, error) {
 	client, server := net.Pipe()
 	defer client.Close()
 	select {
@@ -47,6 +49,7 @@
 	case <-l.closed:
 		return 0, net.ErrClosed
 	}
+	time.Sleep(pause)
 	if _, err := io.WriteString(client, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		return 0, err
 	}
@@ -58,48 +61,61 @@
 	return response.StatusCode, errors.Join(err, response.Body.Close())
 }
 
-// A server that closes at SIGTERM fails open requests and those of callers with a cached directory answer.
+// A server that closes at SIGTERM fails open requests and those of callers with a cached directory answer. One that shuts down when it
+// closes its listener fails callers who have connected and not sent their requests.
 func TestDrainServesLateCallersAndOpenRequests(t *testing.T) {
 	stopTimeout := 6 * time.Second
 	plan := pollendrain.NewPlan(time.Time{}, stopTimeout)
 	minDrainTime, maxDrainTime := plan.Close.Sub(plan.Begin), plan.Exit.Sub(plan.Begin)
 	tests := []struct {
 		name string
-		// sentAt is when the request is sent, relative to the start of the drain.
-		sentAt time.Duration
+		// sentAt is when the request is sent, relative to the start of the drain, connectedBefore for how long its connection has been
+		// open then.
+		sentAt          time.Duration
+		connectedBefore time.Duration
 		// handlingTime is how long the server takes to answer.
 		handlingTime time.Duration
 		served       bool
 		drainTime    time.Duration
 	}{
-		{"open request is answered", -time.Second, 3 * time.Second, true, minDrainTime},
-		{"late caller is served", 4 * time.Second, time.Millisecond, true, minDrainTime},
-		{"long request is waited for", 4 * time.Second, 1200 * time.Millisecond, true, 5200 * time.Millisecond},
-		{"request that takes too long is cut", -time.Second, 20 * time.Second, false, maxDrainTime},
-		{"no request", time.Minute, 0, false, minDrainTime},
+		{name: "open request is answered", sentAt: -time.Second, handlingTime: 3 * time.Second, served: true, drainTime: minDrainTime},
+		{name: "late caller is served", sentAt: 4 * time.Second, handlingTime: time.Millisecond, served: true, drainTime: minDrainTime},
+		{name: "long request is waited for", sentAt: 4 * time.Second, handlingTime: 1200 * time.Millisecond, served: true, drainTime: 5200 * time.Millisecond},
+		{name: "request that takes too long is cut", sentAt: -time.Second, handlingTime: 20 * time.Second, drainTime: maxDrainTime},
+		{name: "no request", sentAt: time.Minute, drainTime: minDrainTime},
+		{
+			name: "caller that has connected and sends after the listener is closed is served", sentAt: 4400 * time.Millisecond,
+			connectedBefore: 300 * time.Millisecond, handlingTime: 10 * time.Millisecond, served: true, drainTime: 4410 * time.Millisecond,
+		},
+		{
+			name: "caller that has connected and sends nothing for a second is not waited for", sentAt: 10 * time.Second,
+			connectedBefore: 6 * time.Second, drainTime: 5 * time.Second,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-				server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Connection", "close")
 					select {
 					case <-time.After(test.handlingTime):
 					case <-r.Context().Done():
 					}
 				})}
+				tracker := newConnTracker(server)
 				go func() { _ = server.Serve(listener) }()
 				start := time.Now()
 				served := make(chan bool, 1)
 				defer server.Close()
 				go func() {
-					time.Sleep(2*time.Second + test.sentAt)
-					status, err := listener.get("/")
+					time.Sleep(2*time.Second + test.sentAt - test.connectedBefore)
+					status, err := listener.get("/", test.connectedBefore)
 					served <- err == nil && status == 200
 				}()
 				time.Sleep(2 * time.Second)
-				err := drain(server, pollendrain.NewPlan(time.Now(), stopTimeout))
+				err := tracker.drain(server, listener, pollendrain.NewPlan(time.Now(), stopTimeout))
 				drainTime := time.Since(start) - 2*time.Second
 				c.Assert(errors.Is(err, context.DeadlineExceeded), qt.Equals, drainTime > 5500*time.Millisecond)
 				// Shutdown polls for idle connections at intervals of up to 500 ms.
@@ -110,3 +126,26 @@
 		})
 	}
 }
+
+// Guards against a request that is forwarded although its connection has been closed while it was read, so that its caller gets no answer.
+func TestRequestOfClosedConnectionIsNotServed(t *testing.T) {
+	c := qt.New(t)
+	served := 0
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ })}
+	tracker := newConnTracker(server)
+	caller, idle := net.Pipe()
+	defer caller.Close()
+	ctx := server.ConnContext(t.Context(), idle)
+	request := func() { server.Handler.ServeHTTP(nil, (&http.Request{}).WithContext(ctx)) }
+	server.ConnState(idle, http.StateActive)
+	c.Assert(tracker.closeUnused(0), qt.Equals, 1)
+	request()
+	c.Assert(served, qt.Equals, 1)
+	server.ConnState(idle, http.StateIdle)
+	c.Assert(tracker.closeUnused(0), qt.Equals, 0)
+	server.ConnState(idle, http.StateActive)
+	c.Assert(request, qt.PanicMatches, http.ErrAbortHandler.Error())
+	c.Assert(served, qt.Equals, 1)
+	server.ConnState(idle, http.StateClosed)
+	c.Assert(tracker.conns, qt.HasLen, 0)
+}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -81,8 +81,9 @@
 	relay *pollenrelay.Server
 	// source reads the store, through the zone's watcher where possible.
 	source *pollenrelay.Source
-	// httpServers begins with the callers' server, the only one that is drained.
+	// httpServers begins with the callers' server, the only one that is drained; callerConns knows its connections.
 	httpServers []*http.Server
+	callerConns *connTracker
 	// drain tells whether the shutdown has begun.
 	drain *pollendrain.Drain
 	// viewStale is set while the store is unreachable.
@@ -245,6 +246,7 @@
 		f.newHTTPServer(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
 		f.newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
+	f.callerConns = newConnTracker(f.httpServers[0])
 	return f, nil
 }
 
@@ -279,11 +281,13 @@
 func (f *Frontend) Run(ctx context.Context) error {
 	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	serveErrors := make(chan error, len(f.httpServers)+1)
+	var listeners []net.Listener
 	for _, server := range f.httpServers {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil {
 			return &ListenError{Address: server.Addr, Err: err}
 		}
+		listeners = append(listeners, listener)
 		go func() { serveErrors <- server.Serve(listener) }()
 	}
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -314,8 +318,7 @@
 	f.drain.Start(plan)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	cancelRegistration()
-	err = drain(f.httpServers[0], plan)
-	f.logCutOff(err)
+	f.logCutOff(f.callerConns.drain(f.httpServers[0], listeners[0], plan))
 	<-unregistered
 	refused, ended := f.drain.Counts()
 	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
@@ -358,16 +361,6 @@
 
 func (e *ListenError) Unwrap() error { return e.Err }
 
-// drain serves callers with a cached directory answer, then waits for open requests and shuts the server down.
-//
-// It returns at the plan's exit, or once it has closed the server if no request is open then.
-func drain(server *http.Server, plan pollendrain.Plan) error {
-	time.Sleep(time.Until(plan.Close))
-	ctx, cancel := context.WithDeadline(context.Background(), plan.Exit)
-	defer cancel()
-	return server.Shutdown(ctx)
-}
-
 func (f *Frontend) newHTTPServer(address netip.AddrPort, handler http.Handler) *http.Server {
 	return &http.Server{
 		Addr: address.String(), Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
