Relay: answer calls of an unknown kind with a typed error, and keep the connection

What was seen: an instance that offers evidence against requests to one of a build without that call connected to it again each second and logged each try.

Cause: net/rpc answers an unknown method with an error text and keeps the connection, but the callers in pollenrelay closed it after any error and took the error for a lost peer, which is tried again until it answers.

Change: peerConn returns an *UnsupportedError without a reply and keeps the connection. The sharer offers evidence to such a peer once for each incarnation, and does not wait for it. The reports on teams' use and on rollouts go on, over one connection; a peer that gives no report counts as silent, as before.

--- a/pollen/pollenrelay/peer.go
+++ b/pollen/pollenrelay/peer.go
@@ -19,7 +19,7 @@
 	conn    net.Conn
 }
 
-// call calls a method over the connection to address, and closes the connection if the call fails.
+// call calls a method over the connection to address. The connection is closed if the call fails, but for an *UnsupportedError.
 func (p *peerConn) call(ctx context.Context, address netip.AddrPort, method string, request any) (*Reply, error) {
 	if err := p.connect(ctx, address); err != nil {
 		return nil, err
@@ -36,15 +36,24 @@
 	select {
 	case <-call.Done:
 		if call.Error != nil {
-			p.close()
+			return nil, p.callError(address, method, call.Error)
 		}
-		return reply, call.Error
+		return reply, nil
 	case <-ctx.Done():
 		p.close()
 		return nil, ctx.Err()
 	}
 }
 
+// callError returns the error of a failed call, and closes the connection unless the peer has only refused the call.
+func (p *peerConn) callError(address netip.AddrPort, method string, err error) error {
+	if isUnsupported(err) {
+		return &UnsupportedError{Address: address, Method: method}
+	}
+	p.close()
+	return err
+}
+
 // connect opens the connection to address, unless there is one.
 func (p *peerConn) connect(ctx context.Context, address netip.AddrPort) error {
 	if p.client != nil && p.address == address {
--- a/pollen/pollenrelay/sharer.go
+++ b/pollen/pollenrelay/sharer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -38,6 +39,8 @@
 	incarnation string
 	// busy is set during an exchange; stale is set while the peer lacks evidence.
 	busy, stale bool
+	// unsupported is set if this incarnation does not know the exchange; another build may after a restart.
+	unsupported bool
 	// told is the number of this instance's changes that the peer was told of, or could not be told of.
 	told int
 }
@@ -94,7 +97,7 @@
 			p = &sharedPeer{incarnation: instance.Incarnation, stale: true}
 		}
 		known[instance.Name] = p
-		if p.busy || !p.stale || !instance.PeerAddress.IsValid() {
+		if p.busy || !p.stale || p.unsupported || !instance.PeerAddress.IsValid() {
 			continue
 		}
 		p.busy, p.stale = true, false
@@ -120,6 +123,7 @@
 	p.told = r.changes
 	if r.err != nil {
 		p.stale = true
+		p.unsupported = errors.As(r.err, new(*UnsupportedError))
 		klog.InfoS("Evidence against requests not shared", "peer", r.name, "err", r.err.Error())
 	}
 }
@@ -128,7 +132,7 @@
 func (s *Sharer) reportShared() {
 	shared := s.config.Suspects.OwnChanges()
 	for _, p := range s.peers {
-		if p.busy || p.stale {
+		if (p.busy || p.stale) && !p.unsupported {
 			shared = min(shared, p.told)
 		}
 	}
--- /dev/null
+++ b/pollen/pollenrelay/unsupported.go
@@ -0,0 +1,28 @@
+package pollenrelay
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/rpc"
+	"strings"
+)
+
+// UnsupportedError reports a call that the other instance does not know, because it is of another build. It has not changed anything there.
+type UnsupportedError struct {
+	Address netip.AddrPort
+	Method  string
+}
+
+func (e *UnsupportedError) Error() string {
+	return fmt.Sprintf("instance %v does not support the call %s", e.Address, e.Method)
+}
+
+// unknownMethod begins the text with which net/rpc answers calls of an unknown service or method.
+const unknownMethod = "rpc: can't find "
+
+// isUnsupported reports whether another instance has answered that it does not support a call.
+func isUnsupported(err error) bool {
+	var answered rpc.ServerError
+	return errors.As(err, &answered) && strings.HasPrefix(string(answered), unknownMethod)
+}
