Relay: an instance says that it takes no part in a call

What was seen: an instance whose settings leave rollouts out of account answered reports on rollouts with an empty reply. During a change of the settings, the reporting instances took it for a driver that has heard them, and logged nothing, while nobody drove the rollout.

Change: it answers with an error that callers see as an *UnsupportedError; they log "Rollout not reported" once. The same holds for usage reports to an instance without allowances.

--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -218,17 +218,19 @@
 
 // ShareUsage adopts the caller's usage report and returns this instance's.
 func (s *service) ShareUsage(request UsageRequest, reply *Reply) error {
-	if a := s.server.config.Allowances; a != nil {
-		a.Merge(request.Usage, time.Now())
-		reply.Usage = a.Message(request.Usage.Instance, time.Now())
+	a := s.server.config.Allowances
+	if a == nil {
+		return errNoPart
 	}
+	a.Merge(request.Usage, time.Now())
+	reply.Usage = a.Message(request.Usage.Instance, time.Now())
 	return nil
 }
 
 // ReportRollouts takes an instance's reports on rollouts that this instance drives.
 func (s *service) ReportRollouts(request RolloutsRequest, reply *Reply) error {
 	if s.server.config.ReceiveRollout == nil {
-		return nil
+		return errNoPart
 	}
 	for _, report := range request.Reports {
 		reply.Rulings = append(reply.Rulings, s.server.config.ReceiveRollout(report, time.Now()))
--- a/pollen/pollenrelay/unsupported.go
+++ b/pollen/pollenrelay/unsupported.go
@@ -8,7 +8,8 @@
 	"strings"
 )
 
-// UnsupportedError reports a call that the other instance does not know, because it is of another build. It has not changed anything there.
+// UnsupportedError reports a call that the other instance does not know, because it is of another build, or in which its settings let it
+// take no part. It has not changed anything there.
 type UnsupportedError struct {
 	Address netip.AddrPort
 	Method  string
@@ -18,11 +19,15 @@
 	return fmt.Sprintf("instance %v does not support the call %s", e.Address, e.Method)
 }
 
+// errNoPart is the error of a call in which an instance takes no part; an empty reply would be taken for an answer. Its text is part of
+// the protocol, as net/rpc sends the text only.
+var errNoPart = errors.New("pollenrelay: this instance takes no part in the call")
+
 // unknownMethod begins the text with which net/rpc answers calls of an unknown service or method.
 const unknownMethod = "rpc: can't find "
 
 // isUnsupported reports whether another instance has answered that it does not support a call.
 func isUnsupported(err error) bool {
 	var answered rpc.ServerError
-	return errors.As(err, &answered) && strings.HasPrefix(string(answered), unknownMethod)
+	return errors.As(err, &answered) && (strings.HasPrefix(string(answered), unknownMethod) || string(answered) == errNoPart.Error())
 }
--- a/pollen/pollenrelay/version_test.go
+++ b/pollen/pollenrelay/version_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -98,3 +99,27 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an instance that is taken for the driver of a rollout because it answers reports without rulings, and against one
+// whose empty usage report is taken for a report of no use.
+func TestInstanceWithoutPartSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		z, cleanup := newTestZone(t)
+		defer cleanup()
+		conn := peerConn{dial: z.source.config.Dial}
+		defer conn.close()
+		tests := []struct {
+			method  string
+			request any
+		}{
+			{methodRollouts, RolloutsRequest{Reports: []pollenrollout.Report{{Service: "s"}}}},
+			{methodUsage, UsageRequest{}},
+		}
+		for _, test := range tests {
+			_, err := conn.call(t.Context(), netip.MustParseAddrPort("10.0.0.1:8106"), test.method, test.request)
+			c.Check(err, qt.ErrorAs, new(*UnsupportedError), qt.Commentf("%s", test.method))
+		}
+		c.Check(len(z.conns), qt.Equals, 2)
+	})
+}
