Relay: do not take an empty replica for the keys of the store

What was seen, in the test: an instance that had had its first answer from the store and not yet taken its first listing answered List with no keys and CatchUp with no changes. Callers took both for complete; a follower that reads all keys again would have dropped all servers.

Cause: a server's replica counts as fresh from the first answer of the store on. An instance that is replaced is called in this time, as its former registration stays in the store for up to the lease.

Change: a caller does not use a reply without a revision and reads the store instead.

--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -65,6 +65,11 @@
 	Rulings []pollenrollout.Ruling
 }
 
+// unusable reports whether a reply must not be used: it is stale, or of an instance that has not read any keys yet.
+func (r *Reply) unusable() bool {
+	return r.Stale || !r.Compacted && r.Listing.Revision == 0 && r.Changes.Revision == 0
+}
+
 // ServerConfig holds the parameters of a Server.
 type ServerConfig struct {
 	// MaxStaleness is the longest time since the store's last answer for which the replica is served.
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -124,7 +124,7 @@
 	if err == nil {
 		s.mergeSuspects(reply)
 	}
-	if err != nil || reply.Stale || reply.Compacted {
+	if err != nil || reply.unusable() || reply.Compacted {
 		return pollenstore.Changes{}, false
 	}
 	s.storeRank(reply)
@@ -204,7 +204,7 @@
 	if err == nil {
 		s.mergeSuspects(reply)
 	}
-	if err == nil && (reply.Stale || s.isOfEarlierEra(reply)) {
+	if err == nil && (reply.unusable() || s.isOfEarlierEra(reply)) {
 		err = &StaleError{Address: address}
 	}
 	s.setFallback(err != nil, err)
@@ -231,7 +231,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, s.config.WatchWait+s.config.WatchSlack)
 		reply, err := s.other.call(callCtx, address, methodWatch, request)
 		cancel()
-		if err == nil && !reply.Stale && !s.isOfEarlierEra(reply) {
+		if err == nil && !reply.unusable() && !s.isOfEarlierEra(reply) {
 			s.mergeSuspects(reply)
 			s.otherAddress = address
 			return reply, true
--- a/pollen/pollenrelay/version_test.go
+++ b/pollen/pollenrelay/version_test.go
@@ -14,6 +14,7 @@
 
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenrollout"
+	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollensuspect"
 )
 
@@ -123,3 +124,22 @@
 		c.Check(len(z.conns), qt.Equals, 2)
 	})
 }
+
+// Load pattern: a watcher is replaced, and its former registration is still in the store. Between its first answer from the store and
+// its first listing, it knows no keys: nobody may take that for the keys of the store.
+func TestEmptyReplicaIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		z, cleanup := newTestZone(t)
+		defer cleanup()
+		z.watcher.SetLastContact(time.Now())
+		_, ok := z.source.CatchUp(t.Context(), pollenstore.Listing{Revision: 7})
+		c.Check(ok, qt.IsFalse)
+		listing, err := z.source.List(t.Context(), "")
+		c.Check(err, qt.IsNil)
+		c.Check(listing.Revision, qt.Equals, uint64(100))
+		_, err = z.source.Watch(t.Context(), "", pollenstore.Position{Revision: 7}, time.Minute)
+		c.Check(err, qt.IsNil)
+		c.Check(z.store.calls, qt.DeepEquals, []string{"list", "watch"})
+	})
+}
