Peer: a call that another build does not know has not run

What callers would have seen: a sub-query to an instance of a build without the method counted as one that may have run, so that its caller got "Unknown" although it could be repeated elsewhere.

Cause: the client made no difference between net/rpc's answer to an unknown method and a failed handler.

Change: the client returns an *UnsupportedError; Execute answers "not run". The recognition is shared with pollenrelay, in pollenversion.

--- a/pollen/pollenpeer/client.go
+++ b/pollen/pollenpeer/client.go
@@ -13,6 +13,7 @@
 	"pollenline.example/pollen/pollenmessage"
 	"pollenline.example/pollen/pollenroute"
 	"pollenline.example/pollen/pollenschema"
+	"pollenline.example/pollen/pollenversion"
 )
 
 // Client calls other instances over one connection per instance.
@@ -50,6 +51,16 @@
 
 func (e *CallError) Unwrap() error { return e.Err }
 
+// UnsupportedError reports a call that the other instance does not know, because it is of another build. It has not run.
+type UnsupportedError struct {
+	// Method is the name of the called method.
+	Method string
+}
+
+func (e *UnsupportedError) Error() string {
+	return "the instance does not support the call " + e.Method
+}
+
 // Execute runs a sub-query on the instance that owns its backend server.
 //
 // If ctx is done during the call, it asks the instance to cancel the sub-query and returns an unknown outcome.
@@ -57,10 +68,11 @@
 	var reply ExecuteReply
 	err := c.call(ctx, i.Peer, "Execute", &ExecuteRequest{SubQuery: *q}, &reply)
 	var notConnected *NotConnectedError
+	var unsupported *UnsupportedError
 	switch {
 	case err == nil:
 		return reply.Answer
-	case errors.As(err, &notConnected):
+	case errors.As(err, &notConnected), errors.As(err, &unsupported):
 		return q.Refuse(pollenschema.Reason_REASON_NO_OWNER, err.Error())
 	case ctx.Err() != nil:
 		go c.sendCancel(i.Peer, q.ID)
@@ -157,6 +169,9 @@
 	if err == nil {
 		return nil
 	}
+	if pollenversion.IsUnknownMethod(err) {
+		return &UnsupportedError{Method: method}
+	}
 	var handlerError rpc.ServerError
 	if !errors.As(err, &handlerError) {
 		// net/rpc returns rpc.ErrShutdown both for calls that were not sent and for calls in flight, so that after any
--- a/pollen/pollenpeer/peer_test.go
+++ b/pollen/pollenpeer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"net/rpc"
 	"testing"
 	"time"
 
@@ -112,3 +113,21 @@
 		<-served
 	})
 }
+
+// Guards against a sub-query that counts as one that may have run, although the other instance does not know the call.
+func TestUnknownCallIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	go rpc.NewServer().Accept(listener)
+	client := NewClient()
+	defer client.Close()
+	i := pollenroute.Instance{Peer: netip.MustParseAddrPort(listener.Addr().String())}
+	for range 2 {
+		answer := client.Execute(t.Context(), i, &pollenmessage.SubQuery{ID: "4", Timeout: time.Second})
+		c.Check(answer.Outcome, qt.Equals, pollenschema.Outcome_OUTCOME_NOT_RUN)
+	}
+	_, err = client.Ping(t.Context(), i, PingRequest{})
+	c.Check(err, qt.ErrorAs, new(*UnsupportedError))
+}
--- a/pollen/pollenrelay/unsupported.go
+++ b/pollen/pollenrelay/unsupported.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"net/netip"
 	"net/rpc"
-	"strings"
+
+	"pollenline.example/pollen/pollenversion"
 )
 
 // UnsupportedError reports a call that the other instance does not know, because it is of another build, or in which its settings let it
@@ -23,11 +24,8 @@
 // the protocol, as net/rpc sends the text only.
 var errNoPart = errors.New("pollenrelay: this instance takes no part in the call")
 
-// unknownMethod begins the text with which net/rpc answers calls of an unknown service or method.
-const unknownMethod = "rpc: can't find "
-
 // isUnsupported reports whether another instance has answered that it does not support a call.
 func isUnsupported(err error) bool {
 	var answered rpc.ServerError
-	return errors.As(err, &answered) && (strings.HasPrefix(string(answered), unknownMethod) || string(answered) == errNoPart.Error())
+	return pollenversion.IsUnknownMethod(err) || errors.As(err, &answered) && string(answered) == errNoPart.Error()
 }
