--- a/pollen/pollenhttp/header.go
+++ b/pollen/pollenhttp/header.go
@@ -1,6 +1,7 @@
 package pollenhttp
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,3 +50,8 @@
 	}
 	return int64(total)
 }
+
+// DeleteFields deletes the fields whose canonical names begin with a prefix.
+func DeleteFields(header http.Header, prefix string) {
+	maps.DeleteFunc(header, func(name string, _ []string) bool { return strings.HasPrefix(name, prefix) })
+}
