State each instance's build and protocol version

What was missing: nobody could see which build an instance runs, nor use a new call only where the other side knows it.

Change: package pollenversion holds the constant protocol version, 1, and the build: the revision of debug/buildinfo, or the one that the linker sets (make build does), or "unknown". Both are in the registration, in the first log line, in "Key written", and in the metrics pollen_build_info, pollen_registered_instances{build,protocol} and pollen_fleet_protocol. Table.Protocol returns the lowest version that the registered instances state; nothing depends on it yet, as all present calls are known to.

--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,14 @@
 SEEDS ?= 10
 SEED ?= 1
 SKIP ?=
+# The build that programs state where go build records none, as with -buildvcs=false or in a worktree.
+BUILD ?= $(shell git describe --always --dirty=+dirty --abbrev=12 --exclude '*' 2>/dev/null)
 
 .PHONY: build test check demo soak proof measure slopes mutations generate
 
 build:
 	@mkdir -p bin
-	go build -o bin/ $(PACKAGES)
+	go build -ldflags '-X pollenline.example/pollen/pollenversion.revision=$(BUILD)' -o bin/ $(PACKAGES)
 
 test: build
 	POLLEN_PROGRAMS=$(CURDIR)/bin go test $(if $(SKIP),-skip '$(SKIP)') $(PACKAGES)
--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -144,4 +144,8 @@
 	Ready bool
 	// CutOff is set while the instance reaches no backend servers and passes its requests on to others.
 	CutOff bool
+	// Protocol is the version of the calls and stored values that the instance knows; zero if it states none.
+	Protocol int
+	// Build names the revision that the instance's program was built from; it is for operators only.
+	Build string
 }
--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -75,6 +75,15 @@
 // does.
 func (t *Table) Senders() []Instance { return t.senders }
 
+// Protocol returns the lowest version of calls and stored values that a registered instance states, or own if that is lower. What all
+// instances must understand is used only from that version on.
+func (t *Table) Protocol(own int) int {
+	for _, i := range t.instances {
+		own = min(own, i.Protocol)
+	}
+	return own
+}
+
 // SharerCount returns the number of instances among which limits are divided, at least one.
 //
 // Departed instances count up to the number of the present ones: more cannot have held a share at the same time.
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -321,7 +321,7 @@
 		s := record.Server
 		klog.InfoS(message, "key", key, "revision", revision, "service", s.Service, "zone", s.Zone, "leaving", s.Draining, "coldUntil", s.ColdUntil)
 	case record.Instance != nil:
-		klog.InfoS(message, "key", key, "revision", revision, "incarnation", record.Instance.Incarnation, "ready", record.Instance.Ready)
+		klog.InfoS(message, "key", key, "revision", revision, "incarnation", record.Instance.Incarnation, "ready", record.Instance.Ready, "build", record.Instance.Build, "protocol", record.Instance.Protocol)
 	case record.RolloutOrder != nil:
 		o := record.RolloutOrder
 		klog.InfoS(message, "key", key, "revision", revision, "target", o.Target, "duration", o.Duration.String(), "problem", o.Problem)
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -36,6 +36,7 @@
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollensuspect"
+	"pollenline.example/pollen/pollenversion"
 	"pollenline.example/pollen/pollenview"
 )
 
@@ -170,7 +171,7 @@
 		self: pollencatalog.Instance{
 			Name: settings.Name, Zone: settings.Zone, CallerAddress: settings.CallerAddress, Ready: true,
 			PeerAddress: settings.PeerAddress, Processor: settings.ProcessorShare,
-			Incarnation: fmt.Sprintf("%016x", rand.Uint64()),
+			Incarnation: fmt.Sprintf("%016x", rand.Uint64()), Protocol: pollenversion.Protocol, Build: pollenversion.Build(),
 		},
 		pool:         pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: defaultServerIdleTimeout, KeepAlive: keepAliveConfig, SourceAddress: settings.SourceAddress}),
 		ranking:      pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
@@ -221,6 +222,7 @@
 		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, BeforePublish: f.observeVersions, OnPublish: f.onPublish,
 	})
 	f.metrics.countUnreadableKeys(f.view.UnreadableKeys)
+	f.metrics.stateBuilds(f.self, f.view.Table)
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
 		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
@@ -279,7 +281,7 @@
 
 // Run serves until ctx is done, then drains open requests before it returns.
 func (f *Frontend) Run(ctx context.Context) error {
-	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
+	klog.InfoS("Start", "build", f.self.Build, "protocol", f.self.Protocol, "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	serveErrors := make(chan error, len(f.httpServers)+1)
 	var listeners []net.Listener
 	for _, server := range f.httpServers {
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -1,6 +1,7 @@
 package pollenfront
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenteam"
+	"pollenline.example/pollen/pollenversion"
 )
 
 // metrics holds the Prometheus collectors of one instance.
@@ -78,6 +80,41 @@
 	}, func() float64 { return float64(count()) }))
 }
 
+// stateBuilds adds this instance's build, and the number of registered instances by build as this instance's table has them.
+func (m *metrics) stateBuilds(self pollencatalog.Instance, table func() *pollencatalog.Table) {
+	build := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "pollen_build_info", Help: "1, with this instance's build and protocol version."}, []string{"build", "protocol"})
+	build.WithLabelValues(self.Build, strconv.Itoa(self.Protocol)).Set(1)
+	m.registry.MustRegister(build, &buildCollector{
+		table: table, desc: prometheus.NewDesc("pollen_registered_instances", "Registered instances by build and protocol version.", []string{"build", "protocol"}, nil),
+	}, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pollen_fleet_protocol", Help: "Lowest protocol version that this and the registered instances state.",
+	}, func() float64 { return float64(table().Protocol(self.Protocol)) }))
+}
+
+// buildCollector counts the registered instances by build when the metrics are read.
+type buildCollector struct {
+	table func() *pollencatalog.Table
+	desc  *prometheus.Desc
+}
+
+// Describe implements prometheus.Collector.
+func (b *buildCollector) Describe(descs chan<- *prometheus.Desc) { descs <- b.desc }
+
+// Collect implements prometheus.Collector. Instances that state no build count under pollenversion.Unknown.
+func (b *buildCollector) Collect(metrics chan<- prometheus.Metric) {
+	type build struct {
+		name     string
+		protocol int
+	}
+	counts := make(map[build]int)
+	for _, i := range b.table().Instances() {
+		counts[build{cmp.Or(i.Build, pollenversion.Unknown), i.Protocol}]++
+	}
+	for stated, n := range counts {
+		metrics <- prometheus.MustNewConstMetric(b.desc, prometheus.GaugeValue, float64(n), stated.name, strconv.Itoa(stated.protocol))
+	}
+}
+
 func newSpreadCounter(name, help string, count func() int) prometheus.Collector {
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(count()) })
 }
