Soak: a load of planned stops under kept connections

The soak's NothingCut excuses every request while servers are slow, and its callers send few long requests late in a stop, so that the requests that were reported as cut on three sites could not be seen. LoadStops plays those sites: 120 callers that keep their connections, 60 requests a second in an open loop, log-normal work, up to two of four instances stopped at a time, reloads and new configurations between, and slow servers if wanted. AnsweredAtStop takes the place of NothingCut in it; slow servers excuse nothing.

--- a/pollenbench/pollensoak/check.go
+++ b/pollenbench/pollensoak/check.go
@@ -55,7 +55,10 @@
 }
 
 // check evaluates all promises and returns their violations.
-func (r *record) check() []Violation {
+func (r *record) check() []Violation { return r.checkAll(promises) }
+
+// checkAll evaluates some promises and returns their violations.
+func (r *record) checkAll(promises []promise) []Violation {
 	var violations []Violation
 	for _, p := range promises {
 		p.check(r, func(request, format string, arguments ...any) {
--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -108,6 +108,8 @@
 	deadlyCaller atomic.Pointer[string]
 	// cutOff holds the numbers of the instances that are cut off from the servers.
 	cutOff map[int]bool
+	// stops is the state of LoadStops, nil for other loads.
+	stops *stopLoad
 }
 
 func newCluster(program, directory string, seed uint64, instances int) (*cluster, error) {
@@ -173,7 +175,11 @@
 
 // start starts the servers, deploys the first configuration, starts the instances and waits until all of them are ready.
 func (c *cluster) start(ctx context.Context) error {
-	for _, service := range append(c.shards(0), append(plainServices, longService)...) {
+	services := append(c.shards(0), append(plainServices, longService)...)
+	if c.stops != nil {
+		services = stopServices()
+	}
+	for _, service := range services {
 		if err := c.addServerPerZone(service); err != nil {
 			return err
 		}
@@ -192,16 +198,24 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, e := range c.instances {
-		for !isReady(ctx, e.readinessAddress) {
-			if ctx.Err() != nil {
-				return fmt.Errorf("instance %s not ready within %v: %w", e.name, readyTimeout, ctx.Err())
-			}
-			time.Sleep(readyPollInterval)
+		if err := e.awaitReady(ctx); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// awaitReady waits until the instance is ready.
+func (e *entryInstance) awaitReady(ctx context.Context) error {
+	for !isReady(ctx, e.readinessAddress) {
+		if ctx.Err() != nil {
+			return fmt.Errorf("instance %s not ready within %v: %w", e.name, readyTimeout, ctx.Err())
+		}
+		time.Sleep(readyPollInterval)
+	}
+	return nil
+}
+
 func isReady(ctx context.Context, address netip.AddrPort) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/ready", nil)
 	if err != nil {
@@ -264,10 +278,14 @@
 	c.serverCount++
 	id := fmt.Sprintf("i-%04d", c.serverCount)
 	c.mu.Unlock()
-	server, err := pollenfakeplatform.StartServer(pollenfakeplatform.ServerConfig{
+	config := pollenfakeplatform.ServerConfig{
 		ID: id, Service: service, Zone: zone, Slots: serverSlots, QueueLength: serverQueue, MeanWork: work, AnswerRecords: records,
 		Store: c.store, Ledger: c.ledger, HeartbeatInterval: serverHeartbeat, OnDeadly: c.endServer,
-	})
+	}
+	if c.stops != nil {
+		c.stops.configureServer(&config)
+	}
+	server, err := pollenfakeplatform.StartServer(config)
 	if err != nil {
 		return err
 	}
@@ -357,6 +375,9 @@
 )
 
 func (c *cluster) configuration() pollenfakeplatform.Configuration {
+	if c.stops != nil {
+		return c.stopConfiguration()
+	}
 	moving := plainServices[0]
 	if c.moved {
 		moving = plainServices[1]
--- a/pollenbench/pollensoak/record.go
+++ b/pollenbench/pollensoak/record.go
@@ -124,6 +124,9 @@
 	cuts       []cut
 	// instanceByAddress maps the address that callers use to the instance's number.
 	instanceByAddress map[string]int
+	// stops holds the planned stops of LoadStops; received holds when servers first received requests, by their IDs.
+	stops    []*stop
+	received map[string]time.Time
 	// stopFailures describes the graceful stops that failed or timed out.
 	stopFailures []string
 	// faultsEndedAt is when the last fault ended.
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +33,11 @@
 	Callers   int
 	// FaultKinds names the kinds of faults to draw from; empty means all.
 	FaultKinds []string
+	// Load is LoadFaults or LoadStops; empty means LoadFaults. LoadStops draws no kinds of faults.
+	Load string
+	// MeanWork is the mean time for which a server works on a request of LoadStops, and SlowServers makes some servers slower at times.
+	MeanWork    time.Duration
+	SlowServers bool
 	// Output receives a line for each fault when it starts.
 	Output io.Writer
 }
@@ -42,6 +48,12 @@
 	// Requests is the number of requests that callers sent, Served the number that succeeded.
 	Requests int
 	Served   int
+	// Refused, BadGateway and GatewayTimeout are the numbers of answers with status 503, 502 and 504; ConnectFailed is that of requests
+	// for which no connection could be made.
+	Refused, BadGateway, GatewayTimeout, ConnectFailed int
+	// Cut is the number of requests that broke the promise AnsweredAtStop, Unanswered that of all whose connection ended without an answer;
+	// Stops is the number of planned stops. They are counted for LoadStops only.
+	Cut, Unanswered, Stops int
 	// Runs is how many times servers began to work on a request; retries and the shards of a query count each.
 	Runs int
 	// Faults names the kinds of the injected faults in order.
@@ -91,6 +103,13 @@
 
 func (e *UnknownFaultError) Error() string { return fmt.Sprintf("unknown fault kind %q", e.Name) }
 
+// UnknownLoadError reports a name in Config.Load that is not the name of a load.
+type UnknownLoadError struct {
+	Name string
+}
+
+func (e *UnknownLoadError) Error() string { return fmt.Sprintf("unknown load %q", e.Name) }
+
 // Describe returns help text with a line for each kind of fault and each promise.
 func Describe() string {
 	var text strings.Builder
@@ -98,7 +117,7 @@
 		fmt.Fprintf(&text, "  %-20s %s\n", f.name, f.description)
 	}
 	text.WriteString("\nPromises:\n")
-	for _, p := range promises {
+	for _, p := range append(slices.Clone(promises), answeredAtStop) {
 		fmt.Fprintf(&text, "  %-20s %s\n", p.name, p.description)
 	}
 	return text.String()
@@ -107,10 +126,17 @@
 // Run starts a cluster, injects the faults that config.Seed determines while callers send requests, and checks all
 // promises on what was observed.
 func Run(ctx context.Context, config Config) (*Report, error) {
-	plan, err := newPlan(config)
-	if err != nil {
-		return nil, err
+	switch config.Load {
+	case "", LoadFaults:
+		return runFaults(ctx, config)
+	case LoadStops:
+		return runStops(ctx, config)
 	}
+	return nil, &UnknownLoadError{Name: config.Load}
+}
+
+// startCluster starts the cluster of a run.
+func startCluster(ctx context.Context, config Config) (*cluster, error) {
 	directory := filepath.Join(config.Directory, fmt.Sprintf("seed-%d", config.Seed))
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
@@ -119,10 +145,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
 	}
-	defer c.close()
+	if config.Load == LoadStops {
+		c.stops = newStopLoad(config)
+	}
 	if err := c.start(ctx); err != nil {
+		c.close()
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
 	}
+	return c, nil
+}
+
+// runFaults makes a run of LoadFaults.
+func runFaults(ctx context.Context, config Config) (*Report, error) {
+	plan, err := newPlan(config)
+	if err != nil {
+		return nil, err
+	}
+	c, err := startCluster(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var callers sync.WaitGroup
@@ -140,7 +183,7 @@
 	stopCallers()
 	callers.Wait()
 	time.Sleep(inFlightDrain)
-	return c.report(config.Seed, plan), nil
+	return c.report(config.Seed, plan, promises), nil
 }
 
 // newPlan draws the faults of a run in the order of their start times. Faults may overlap.
@@ -156,15 +199,20 @@
 			kinds = append(kinds, f)
 		}
 	}
+	return drawFaults(kinds, config, meanFaultInterval), nil
+}
+
+// drawFaults draws faults of the given kinds, with a mean time between their starts.
+func drawFaults(kinds []faultKind, config Config, meanInterval time.Duration) []plannedFault {
 	random := rand.New(rand.NewPCG(config.Seed, 1))
 	var plan []plannedFault
-	for at := faultFreeStart; at < faultFreeStart+config.Duration; at += time.Duration(random.ExpFloat64() * float64(meanFaultInterval)) {
+	for at := faultFreeStart; at < faultFreeStart+config.Duration; at += time.Duration(random.ExpFloat64() * float64(meanInterval)) {
 		plan = append(plan, plannedFault{
 			start: at, kind: kinds[random.IntN(len(kinds))], seed: random.Uint64(),
 			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
-	return plan, nil
+	return plan
 }
 
 func faultKindByName(name string) (faultKind, bool) {
@@ -265,8 +313,8 @@
 	return addresses
 }
 
-// report groups the servers' runs by request, checks all promises and summarises the run.
-func (c *cluster) report(seed uint64, plan []plannedFault) *Report {
+// report groups the servers' runs by request, checks promises and summarises the run.
+func (c *cluster) report(seed uint64, plan []plannedFault, promises []promise) *Report {
 	c.record.mu.Lock()
 	defer c.record.mu.Unlock()
 	runs := c.ledger.All()
@@ -275,14 +323,29 @@
 	for _, run := range runs {
 		c.record.runs[run.Request] = append(c.record.runs[run.Request], run)
 	}
-	report := &Report{Seed: seed, Requests: len(c.record.outcomes), Runs: len(runs), Violations: c.record.check()}
+	c.record.received = c.ledger.Received()
+	report := &Report{Seed: seed, Requests: len(c.record.outcomes), Runs: len(runs), Violations: c.record.checkAll(promises)}
 	for _, o := range c.record.outcomes {
-		if isSuccess(o) {
-			report.Served++
-		}
+		report.count(o)
 	}
 	for _, f := range plan {
 		report.Faults = append(report.Faults, f.kind.name)
 	}
 	return report
 }
+
+// count adds the outcome of a request to the report's numbers.
+func (r *Report) count(o pollenfakeplatform.Outcome) {
+	switch {
+	case isSuccess(o):
+		r.Served++
+	case o.Status == http.StatusServiceUnavailable:
+		r.Refused++
+	case o.Status == http.StatusBadGateway:
+		r.BadGateway++
+	case o.Status == http.StatusGatewayTimeout:
+		r.GatewayTimeout++
+	case o.ConnectFailed:
+		r.ConnectFailed++
+	}
+}
