Soak: choose the load by a flag, and print what became of its requests

pollenbench soak takes -load stops, -work and -slow. The default of -callers depends on the load and is 12 for the default load, as before.

--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -19,8 +19,11 @@
 
 const (
 	soakInstances = 4
-	soakCallers   = 12
 	soakDuration  = 10 * time.Second
+	// soakCallers and soakStopCallers are the numbers of callers of the loads "faults" and "stops".
+	soakCallers     = 12
+	soakStopCallers = 120
+	soakMeanWork    = 220 * time.Millisecond
 )
 
 // soakFlags holds the flags of the soak command.
@@ -59,7 +62,10 @@
 	f.BoolVar(&s.regressions, "regressions", false, "run the recorded seeds of earlier failures")
 	f.DurationVar(&s.config.Duration, "duration", soakDuration, "period in which faults start")
 	f.IntVar(&s.config.Instances, "instances", soakInstances, "number of entry instances")
-	f.IntVar(&s.config.Callers, "callers", soakCallers, "number of concurrent callers")
+	f.IntVar(&s.config.Callers, "callers", 0, fmt.Sprintf("number of concurrent callers (default %d, with -load stops %d)", soakCallers, soakStopCallers))
+	f.StringVar(&s.config.Load, "load", pollensoak.LoadFaults, fmt.Sprintf("`kind` of load: %s, or %s for planned stops under kept connections", pollensoak.LoadFaults, pollensoak.LoadStops))
+	f.DurationVar(&s.config.MeanWork, "work", soakMeanWork, "mean work of a request with -load stops")
+	f.BoolVar(&s.config.SlowServers, "slow", false, "slow some servers at times with -load stops")
 }
 
 // BrokenPromisesError reports the seeds whose runs violated a promise.
@@ -81,6 +87,12 @@
 	if s.quiet {
 		s.config.Output = io.Discard
 	}
+	if s.config.Callers == 0 {
+		s.config.Callers = soakCallers
+		if s.config.Load == pollensoak.LoadStops {
+			s.config.Callers = soakStopCallers
+		}
+	}
 	if s.only != "" {
 		s.config.FaultKinds = strings.Split(s.only, ",")
 	}
@@ -150,15 +162,25 @@
 	return runErr
 }
 
-// maxPrintedViolations is the maximum number of violations printed for one promise of one seed.
-const maxPrintedViolations = 3
+// maxPrintedViolations is the maximum number of violations printed for one promise of one seed, maxPrintedStopViolations that with the load
+// "stops", whose violations can't be replayed exactly.
+const (
+	maxPrintedViolations     = 3
+	maxPrintedStopViolations = 100
+)
 
 func printSoakReport(report *pollensoak.Report) {
 	fmt.Printf("seed %d: %d requests, %d served, %d runs on servers, %d violations; faults: %s\n", report.Seed, report.Requests, report.Served,
 		report.Runs, len(report.Violations), strings.Join(report.Faults, " "))
+	printed := maxPrintedViolations
+	if report.Stops > 0 {
+		printed = maxPrintedStopViolations
+		fmt.Printf("  %d stops; %d refused (503), %d with 502, %d with 504, %d connection failures, %d without an answer, %d of them cut\n", report.Stops,
+			report.Refused, report.BadGateway, report.GatewayTimeout, report.ConnectFailed, report.Unanswered, report.Cut)
+	}
 	count := make(map[string]int)
 	for _, v := range report.Violations {
-		if count[v.Promise]++; count[v.Promise] <= maxPrintedViolations {
+		if count[v.Promise]++; count[v.Promise] <= printed {
 			fmt.Printf("  %s\n", v)
 		}
 	}
