--- a/pollenbench/pollensoak/cut.go
+++ b/pollenbench/pollensoak/cut.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,9 @@
 	"AnsweredAtStop", "a request passed on to a server is answered, unless its time was over or its server still worked at the end of a stop", checkAnsweredAtStop,
 }
 
+// allPromises returns the promises of all loads.
+func allPromises() []promise { return append(slices.Clone(promises), answeredAtStop) }
+
 // judgement says whether a request without an answer was cut by its instance.
 type judgement string
 
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -117,7 +116,7 @@
 		fmt.Fprintf(&text, "  %-20s %s\n", f.name, f.description)
 	}
 	text.WriteString("\nPromises:\n")
-	for _, p := range append(slices.Clone(promises), answeredAtStop) {
+	for _, p := range allPromises() {
 		fmt.Fprintf(&text, "  %-20s %s\n", p.name, p.description)
 	}
 	return text.String()
--- a/pollenbench/pollensoak/soak_test.go
+++ b/pollenbench/pollensoak/soak_test.go
@@ -60,7 +60,7 @@
 	regressions, err := Regressions()
 	c.Assert(err, qt.IsNil)
 	known := make(map[string]bool)
-	for _, p := range promises {
+	for _, p := range allPromises() {
 		known[p.name] = true
 	}
 	for _, r := range regressions {
@@ -73,7 +73,7 @@
 
 // Guards against promises without a mutation, whose check scripts/soak-mutations would never see fail.
 func TestMutationsCoverPromises(t *testing.T) {
-	for _, p := range promises {
+	for _, p := range allPromises() {
 		_, err := os.Stat(filepath.Join("testdata", "mutations", p.name+".patch"))
 		qt.Check(t, err, qt.IsNil)
 	}
