Soak: callers of planned stops notice connections closed while idle

Real clients read from idle connections. Change: with NoticeClose a caller looks for the close before it uses a connection again; only the callers of LoadStops do so. The report holds the numbers of answers by status.

--- a/pollenbench/pollensoak/cut.go
+++ b/pollenbench/pollensoak/cut.go
@@ -32,29 +32,9 @@
 // allPromises returns the promises of all loads.
 func allPromises() []promise { return append(slices.Clone(promises), answeredAtStop) }
 
-// judgement says whether a request without an answer was cut by its instance.
-type judgement string
-
-const (
-	judgedCut     judgement = "cut"
-	judgedExcused judgement = "excused"
-	judgedCrossed judgement = "crossed the close"
-)
-
-// judge tells apart the requests whose connections ended without an answer.
-func (r *record) judge(o pollenfakeplatform.Outcome) judgement {
-	switch {
-	case !r.endedUnanswered(o):
-		return judgedCrossed
-	case r.excused(o):
-		return judgedExcused
-	}
-	return judgedCut
-}
-
 func checkAnsweredAtStop(r *record, report func(string, string, ...any)) {
 	for _, o := range r.outcomes {
-		if r.judge(o) == judgedCut {
+		if r.endedUnanswered(o) && !r.excused(o) {
 			report(o.Request.ID, "%s", r.describeCut(o))
 		}
 	}
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -47,9 +47,9 @@
 	// Requests is the number of requests that callers sent, Served the number that succeeded.
 	Requests int
 	Served   int
-	// Refused, BadGateway and GatewayTimeout are the numbers of answers with status 503, 502 and 504; ConnectFailed is that of requests
-	// for which no connection could be made.
-	Refused, BadGateway, GatewayTimeout, ConnectFailed int
+	// Statuses holds the numbers of answers by status; ConnectFailed is that of requests for which no connection could be made.
+	Statuses      map[int]int
+	ConnectFailed int
 	// Cut is the number of requests that broke the promise AnsweredAtStop, Unanswered that of all whose connection ended without an answer;
 	// Stops is the number of planned stops. They are counted for LoadStops only.
 	Cut, Unanswered, Stops int
@@ -323,28 +323,18 @@
 		c.record.runs[run.Request] = append(c.record.runs[run.Request], run)
 	}
 	c.record.received = c.ledger.Received()
-	report := &Report{Seed: seed, Requests: len(c.record.outcomes), Runs: len(runs), Violations: c.record.checkAll(promises)}
+	report := &Report{Seed: seed, Requests: len(c.record.outcomes), Runs: len(runs), Statuses: make(map[int]int), Violations: c.record.checkAll(promises)}
 	for _, o := range c.record.outcomes {
-		report.count(o)
+		report.Statuses[o.Status]++
+		if isSuccess(o) {
+			report.Served++
+		}
+		if o.ConnectFailed {
+			report.ConnectFailed++
+		}
 	}
 	for _, f := range plan {
 		report.Faults = append(report.Faults, f.kind.name)
 	}
 	return report
 }
-
-// count adds the outcome of a request to the report's numbers.
-func (r *Report) count(o pollenfakeplatform.Outcome) {
-	switch {
-	case isSuccess(o):
-		r.Served++
-	case o.Status == http.StatusServiceUnavailable:
-		r.Refused++
-	case o.Status == http.StatusBadGateway:
-		r.BadGateway++
-	case o.Status == http.StatusGatewayTimeout:
-		r.GatewayTimeout++
-	case o.ConnectFailed:
-		r.ConnectFailed++
-	}
-}
--- a/pollenbench/pollensoak/stops.go
+++ b/pollenbench/pollensoak/stops.go
@@ -164,7 +164,7 @@
 	for _, o := range c.record.outcomes {
 		if o.Status == 0 && !o.ConnectFailed {
 			report.Unanswered++
-			fmt.Fprintf(config.Output, "no answer, %s: request %s: %s\n", c.record.judge(o), o.Request.ID, c.record.describeCut(o))
+			fmt.Fprintf(config.Output, "no answer: excused %v: request %s: %s\n", c.record.excused(o), o.Request.ID, c.record.describeCut(o))
 		}
 	}
 	for _, v := range report.Violations {
@@ -207,16 +207,15 @@
 	e.mu.Lock()
 	process := e.process
 	e.mu.Unlock()
-	s := &stop{instance: e.number, signaledAt: time.Now()}
-	c.record.addStop(s)
-	fmt.Fprintf(config.Output, "stop of %s, log time %s\n", e.name, s.signaledAt.UTC().Format("15:04:05.000"))
+	endStop := c.record.beginStop(e.number)
+	fmt.Fprintf(config.Output, "stop of %s, log time %s\n", e.name, time.Now().UTC().Format("15:04:05.000"))
 	if err := process.Stop(c.record.bounds.StopTimeout); err != nil {
 		process.Kill()
 		c.record.addStopFailure(e.name, err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c.record.endStop(s)
+	endStop()
 	time.Sleep(restartDelay)
 	if err := c.startInstance(e); err != nil {
 		return err
@@ -247,16 +246,17 @@
 	}
 }
 
-func (r *record) addStop(s *stop) {
+// beginStop records a stop that lasts until the returned function is called.
+func (r *record) beginStop(instance int) func() {
+	s := &stop{instance: instance, signaledAt: time.Now()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.stops = append(r.stops, s)
-}
-
-func (r *record) endStop(s *stop) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s.exitedAt = time.Now()
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		s.exitedAt = time.Now()
+	}
 }
 
 // sendOpenLoop sends requests at random times, whatever became of the former ones, until ctx is done. Each is sent by a random one of the
@@ -267,7 +267,7 @@
 	for n := range config.Callers {
 		pick := rand.New(rand.NewPCG(config.Seed, 1<<33+3+uint64(n)))
 		caller := &pollenfakeplatform.Caller{
-			Directories: c.directories(), KeepConnection: true, Pick: pick.IntN,
+			Directories: c.directories(), KeepConnection: true, NoticeClose: true, Pick: pick.IntN,
 			OnWritten: func(instance netip.AddrPort) { c.stops.noteWritten(c.record.instanceByAddress[instance.String()]) },
 		}
 		if random.Float64() < lateShare {
--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -176,7 +177,7 @@
 	if report.Stops > 0 {
 		printed = maxPrintedStopViolations
 		fmt.Printf("  %d stops; %d refused (503), %d with 502, %d with 504, %d connection failures, %d without an answer, %d of them cut\n", report.Stops,
-			report.Refused, report.BadGateway, report.GatewayTimeout, report.ConnectFailed, report.Unanswered, report.Cut)
+			report.Statuses[http.StatusServiceUnavailable], report.Statuses[http.StatusBadGateway], report.Statuses[http.StatusGatewayTimeout], report.ConnectFailed, report.Unanswered, report.Cut)
 	}
 	count := make(map[string]int)
 	for _, v := range report.Violations {
