Log the start, with the build, before everything else

What was seen: the first line of the log was the actor library's; the line with the build came after it.

Change: "Start" is written when the instance is put together, not when it begins to listen.

--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -185,6 +185,8 @@
 		drain:        pollendrain.New(),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
+	// The first line of the log: what follows logs, too.
+	klog.InfoS("Start", "build", f.self.Build, "protocol", f.self.Protocol, "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) }, f.ranking.Counts)
 	f.allowances = pollenallowance.New(pollenallowance.Config{
@@ -281,7 +283,6 @@
 
 // Run serves until ctx is done, then drains open requests before it returns.
 func (f *Frontend) Run(ctx context.Context) error {
-	klog.InfoS("Start", "build", f.self.Build, "protocol", f.self.Protocol, "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	serveErrors := make(chan error, len(f.httpServers)+1)
 	var listeners []net.Listener
 	for _, server := range f.httpServers {
