Soak: no signal before an instance listens

A reload waited for the instance's mutex while it was replaced, and its SIGHUP ended the new process before its first log line. Soaks without an upgrade have the same gap after "stop" and "kill": the instance stayed down, unnoticed.

Cause: the harness released the instance once the process was started. Until the Go runtime has installed the handlers, SIGHUP ends it; the product can't change that.

Change: the start of an instance waits until it listens, and fails if the process ends before.

--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -229,15 +229,30 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// startInstance starts an instance's process. The instance's mutex must be held.
+// startInstance starts an instance's process and waits until it listens: a signal would end it before it handles signals. The instance's
+// mutex must be held.
 func (c *cluster) startInstance(e *entryInstance) error {
 	process, err := pollenfleet.StartProcess(c.directory, e.name, c.program, "front", e.settings)
-	if err == nil {
-		e.process = process
+	if err != nil {
+		return err
 	}
-	return err
+	e.process = process
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(readyPollInterval / 5) {
+		if conn, err := net.Dial("tcp", e.readinessAddress.String()); err == nil {
+			return conn.Close()
+		}
+		if process.Ended() {
+			return &pollenfleet.StartError{Name: e.name, Err: errEndedAtStart}
+		}
+	}
+	return &pollenfleet.StartError{Name: e.name, Err: errNotListening}
 }
 
+var (
+	errEndedAtStart = errors.New("the process has ended")
+	errNotListening = errors.New("the process does not listen")
+)
+
 // reload makes the process read its settings again. A process that has exited is not an error.
 func (e *entryInstance) reload() error {
 	e.mu.Lock()
