Soak: replace a production build by this one under faults

What was missing: no run had two builds beside each other.

Change: pollenbench soak -production COMMIT builds the commit from the local history, starts the fleet with it and replaces the instances one after the other while faults come; half of the seeds go back. The promises are the same. go test plays one seed against.

--- a/pollenbench/pollensoak/cluster.go
+++ b/pollenbench/pollensoak/cluster.go
@@ -68,6 +68,8 @@
 
 	mu      sync.Mutex
 	process *pollenfleet.Process
+	// program is the path of the executable with which the instance starts next.
+	program string
 }
 
 // backend is a server with the proxy through which instances reach it.
@@ -78,7 +80,6 @@
 
 // cluster holds the store, the backend servers and the entry instances of a run.
 type cluster struct {
-	program     string
 	directory   string
 	store       *pollenfakestore.Store
 	storeServer *http.Server
@@ -114,7 +115,7 @@
 
 func newCluster(program, directory string, seed uint64, instances int) (*cluster, error) {
 	c := &cluster{
-		program: program, directory: directory, store: pollenfakestore.New(), ledger: pollenfakeplatform.NewLedger(), cutOff: make(map[int]bool),
+		directory: directory, store: pollenfakestore.New(), ledger: pollenfakeplatform.NewLedger(), cutOff: make(map[int]bool),
 		record: &record{bounds: platformBounds, instanceByAddress: make(map[string]int)},
 	}
 	for n := range teamCount {
@@ -130,20 +131,20 @@
 	// Serve returns once the server is closed.
 	go func() { _ = c.storeServer.Serve(listener) }()
 	for n := range instances {
-		if err := c.addInstance(seed, n, netip.MustParseAddrPort(listener.Addr().String())); err != nil {
+		if err := c.addInstance(program, seed, n, netip.MustParseAddrPort(listener.Addr().String())); err != nil {
 			return nil, err
 		}
 	}
 	return c, nil
 }
 
-func (c *cluster) addInstance(seed uint64, number int, store netip.AddrPort) error {
+func (c *cluster) addInstance(program string, seed uint64, number int, store netip.AddrPort) error {
 	p, err := newProxy(store)
 	if err != nil {
 		return err
 	}
 	e := &entryInstance{
-		number: number, name: fmt.Sprintf("entry-%d", number), storeProxy: p,
+		number: number, name: fmt.Sprintf("entry-%d", number), storeProxy: p, program: program,
 		callerAddress: instanceAddress(seed, number, 0), directoryAddress: instanceAddress(seed, number, 1), readinessAddress: instanceAddress(seed, number, 2),
 	}
 	e.settings = map[string]any{
@@ -232,7 +233,7 @@
 // startInstance starts an instance's process and waits until it listens: a signal would end it before it handles signals. The instance's
 // mutex must be held.
 func (c *cluster) startInstance(e *entryInstance) error {
-	process, err := pollenfleet.StartProcess(c.directory, e.name, c.program, "front", e.settings)
+	process, err := pollenfleet.StartProcess(c.directory, e.name, e.program, "front", e.settings)
 	if err != nil {
 		return err
 	}
--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -1,6 +1,7 @@
 package pollensoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -76,10 +77,15 @@
 
 // injectStop stops an instance gracefully, a planned operation that must interrupt no request and complete in time.
 func injectStop(ctx context.Context, c *cluster, random *rand.Rand, _ time.Duration) error {
-	e := c.randomInstance(random)
+	return c.restart(ctx, c.randomInstance(random), "")
+}
+
+// restart stops an instance gracefully and starts it again, with another program unless that is empty.
+func (c *cluster) restart(ctx context.Context, e *entryInstance, program string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer c.record.beginDisturbance(e.number, disturbsStore|disturbsPace)()
+	e.program = cmp.Or(program, e.program)
 	// A process that has just started may not handle signals yet, and has no requests in flight.
 	wasReady := isReady(ctx, e.readinessAddress)
 	if err := e.process.Stop(c.record.bounds.StopTimeout); err != nil {
--- a/pollenbench/pollensoak/soak.go
+++ b/pollenbench/pollensoak/soak.go
@@ -1,6 +1,7 @@
 package pollensoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +22,9 @@
 type Config struct {
 	// Program is the path of the entry instances' executable.
 	Program string
+	// Production is the path of the executable with which the instances start before they are replaced one after the other by Program, and
+	// with some seeds back; empty if they start with Program. Faults come as long as that takes at least.
+	Production string
 	// Directory is where settings and logs are written, in a subdirectory for the seed.
 	Directory string
 	// Seed determines the faults and the requests.
@@ -109,6 +113,15 @@
 
 func (e *UnknownLoadError) Error() string { return fmt.Sprintf("unknown load %q", e.Name) }
 
+// ProductionLoadError reports a load in which instances are not replaced by another program.
+type ProductionLoadError struct {
+	Load string
+}
+
+func (e *ProductionLoadError) Error() string {
+	return fmt.Sprintf("instances start with a production program only with the load %q, not with %q", LoadFaults, e.Load)
+}
+
 // Describe returns help text with a line for each kind of fault and each promise.
 func Describe() string {
 	var text strings.Builder
@@ -129,6 +142,9 @@
 	case "", LoadFaults:
 		return runFaults(ctx, config)
 	case LoadStops:
+		if config.Production != "" {
+			return nil, &ProductionLoadError{Load: config.Load}
+		}
 		return runStops(ctx, config)
 	}
 	return nil, &UnknownLoadError{Name: config.Load}
@@ -140,7 +156,7 @@
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
 	}
-	c, err := newCluster(config.Program, directory, config.Seed, config.Instances)
+	c, err := newCluster(cmp.Or(config.Production, config.Program), directory, config.Seed, config.Instances)
 	if err != nil {
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
 	}
@@ -156,6 +172,8 @@
 
 // runFaults makes a run of LoadFaults.
 func runFaults(ctx context.Context, config Config) (*Report, error) {
+	replacements := newUpgrade(config)
+	config.Duration = max(config.Duration, time.Duration(len(replacements))*replacementTime)
 	plan, err := newPlan(config)
 	if err != nil {
 		return nil, err
@@ -174,7 +192,9 @@
 	for n := range longCallers {
 		callers.Go(func() { c.runLongCaller(callersCtx, config.Callers+n, config.Seed) })
 	}
-	if err := c.injectFaults(ctx, plan, config.Output); err != nil {
+	upgraded := make(chan error, 1)
+	time.AfterFunc(faultFreeStart, func() { upgraded <- c.upgrade(ctx, replacements, config) })
+	if err := errors.Join(c.injectFaults(ctx, plan, config.Output), <-upgraded); err != nil {
 		return nil, fmt.Errorf("seed %d: %w", config.Seed, err)
 	}
 	c.record.faultsEndedAt = time.Now()
--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -30,6 +30,7 @@
 // soakFlags holds the flags of the soak command.
 type soakFlags struct {
 	programs    string
+	production  string
 	logs        string
 	only        string
 	seed        uint64
@@ -45,7 +46,7 @@
 	return &pollencommand.Command{
 		CommandName: "soak",
 		Summary:     "run entry instances under random faults and check promises",
-		Help: "soak -programs DIRECTORY [-seed N] [-seeds COUNT] [-regressions] [-duration D] [-only LIST]\n\nStarts entry instances as processes, injects faults from outside " +
+		Help: "soak -programs DIRECTORY [-production COMMIT] [-seed N] [-seeds COUNT] [-regressions] [-duration D] [-only LIST]\n\nStarts entry instances as processes, injects faults from outside " +
 			"them, and checks the promises below on what callers and backend servers observe. Exits with status 1 if a promise was broken.\n\nFaults:\n" + pollensoak.Describe(),
 		Flags: flags.register,
 		Run:   func(ctx context.Context, _ []string) error { return flags.run(pollencommand.UntilSignal(ctx)) },
@@ -54,6 +55,7 @@
 
 func (s *soakFlags) register(f *flag.FlagSet) {
 	f.StringVar(&s.programs, "programs", "bin", "`directory` of the built programs")
+	f.StringVar(&s.production, "production", "", "`commit` of this repository with which the instances start, before they are replaced one after the other by those of -programs")
 	f.StringVar(&s.logs, "logs", "", "`directory` for settings and logs (default a temporary directory)")
 	f.StringVar(&s.only, "only", "", "comma-separated `list` of fault kinds to draw from (default all)")
 	f.Uint64Var(&s.seed, "seed", 1, "first seed")
@@ -105,6 +107,16 @@
 		s.config.Directory = directory
 	}
 	fmt.Printf("settings and logs in %s\n", s.config.Directory)
+	if s.production != "" {
+		directory, err := os.MkdirTemp("", "pollenline-production-")
+		if err != nil {
+			return fmt.Errorf("create temporary directory: %w", err)
+		}
+		defer os.RemoveAll(directory)
+		if s.config.Production, err = pollensoak.BuildCommit(ctx, s.production, directory); err != nil {
+			return err
+		}
+	}
 	configs, err := s.selectRuns()
 	if err != nil {
 		return err
