Rollout: leave a state that this build does not know as it is

What would have been seen: if a later build stores a new state of a rollout, and the driver is of this build after an upgrade was taken back, it wrote the state again with each decision, four times a second: the chart has no transition from an unknown state, but the step rose.

Change: the driver takes no step from a state that the chart does not have. Traffic stays with the former version, as for any state that does not divide it, and the next order is carried out.

--- a/pollen/pollenchart/chart.go
+++ b/pollen/pollenchart/chart.go
@@ -137,6 +137,11 @@
 	return c.traits[traitKey{state, trait}]
 }
 
+// Knows reports whether the chart has a state; a stored one may be of a later build.
+func (c *Chart) Knows(state StateName) bool {
+	return slices.ContainsFunc(c.States, func(s State) bool { return s.Name == state })
+}
+
 // Next returns the state that follows a state on an event; it is the same state if the chart has no such transition.
 func (c *Chart) Next(state StateName, event Event) StateName {
 	if to, ok := c.transitions[transitionKey{state, event}]; ok {
--- a/pollen/pollenrollout/decide.go
+++ b/pollen/pollenrollout/decide.go
@@ -123,7 +123,7 @@
 	next := *facts.State
 	next.Exposure, next.Total = max(next.Exposure, facts.Exposure), max(next.Total, facts.Total)
 	next.TargetEvidence, next.FormerEvidence = facts.TargetEvidence, facts.FormerEvidence
-	if Ended(facts.State) {
+	if Ended(facts.State) || !chart.Knows(pollenchart.StateName(next.State)) {
 		return next, false
 	}
 	if event, cause := nextEvent(facts, next, now); event != "" {
