Keep room in the log for lines other than those of each request

Seen by operators: a stop whose last requests all end within a second writes neither "Open requests cut off" nor "Stopped", as the lines of those requests take all that the log accepts in a second. A missing line then says nothing. Change: lines on single requests get nine tenths of the queue and the rate. Evidence: TestFrequentLinesLeaveRoomForOthers fails if such lines may take all (0 of 5 other lines written) and passes now.

--- a/pollen/pollenlog/writer.go
+++ b/pollen/pollenlog/writer.go
@@ -1,6 +1,7 @@
 package pollenlog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -13,8 +14,14 @@
 	QueueLines int
 	// LinesPerSecond bounds the number of lines that are accepted in each second of the clock.
 	LinesPerSecond int
+	// Frequent is a text that is part of the lines which each request writes, empty if there is none. They get at most nine tenths of
+	// the queue and the rate limit, so that other lines are written under load, too.
+	Frequent string
 }
 
+// frequentShare is the share of the queue and the rate limit that frequent lines may take.
+const frequentShare = 0.9
+
 // Writer queues lines for an output without blocking its callers.
 //
 // Lines beyond the queue's capacity or the rate limit are dropped, and their number is written to the output.
@@ -41,7 +48,11 @@
 	if previous := w.currentSecond.Load(); previous != now && w.currentSecond.CompareAndSwap(previous, now) {
 		w.linesThisSecond.Store(0)
 	}
-	if w.linesThisSecond.Add(1) > int64(w.config.LinesPerSecond) {
+	share := 1.0
+	if w.config.Frequent != "" && bytes.Contains(line, []byte(w.config.Frequent)) {
+		share = frequentShare
+	}
+	if !w.acceptLine(int64(share*float64(w.config.LinesPerSecond))) || float64(len(w.queue)) >= share*float64(w.config.QueueLines) {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
@@ -54,6 +65,15 @@
 	return len(line), nil
 }
 
+// acceptLine counts a line of this second, and reports false if there are as many as the limit already.
+func (w *Writer) acceptLine(limit int64) bool {
+	if w.linesThisSecond.Add(1) <= limit {
+		return true
+	}
+	w.linesThisSecond.Add(-1)
+	return false
+}
+
 // Close writes the queued lines and stops the Writer; later lines are never written.
 func (w *Writer) Close() {
 	// A nil line marks the end. The channel stays open, since other goroutines may still log.
--- a/pollen/pollenlog/writer_test.go
+++ b/pollen/pollenlog/writer_test.go
@@ -82,3 +82,35 @@
 		c.Assert(w.Dropped(), qt.Equals, int64(8))
 	})
 }
+
+// Guards against lines on what an instance does at the end of its stop that are dropped because its last requests were logged in the same second.
+func TestFrequentLinesLeaveRoomForOthers(t *testing.T) {
+	tests := []struct {
+		name   string
+		config WriterConfig
+	}{
+		{"rate limit", WriterConfig{QueueLines: 1000, LinesPerSecond: 100}},
+		{"queue", WriterConfig{QueueLines: 100, LinesPerSecond: 1000}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				out := &blockingOutput{unblocked: make(chan struct{})}
+				test.config.Frequent = `"Msg":"Request"`
+				w := NewWriter(out, test.config)
+				for range 500 {
+					fmt.Fprintln(w, `{"Msg":"Request"}`)
+				}
+				for range 5 {
+					fmt.Fprintln(w, `{"Msg":"Stopped"}`)
+				}
+				close(out.unblocked)
+				w.Close()
+				c.Assert(strings.Count(out.String(), "Stopped"), qt.Equals, 5)
+				requests := strings.Count(out.String(), "Request")
+				c.Assert(requests >= 85 && requests <= 95, qt.IsTrue, qt.Commentf("%d lines", requests))
+			})
+		})
+	}
+}
--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -69,7 +69,9 @@
 	if err := pollensettings.Load(file, settings); err != nil {
 		return err
 	}
-	writer := pollenlog.NewWriter(os.Stdout, pollenlog.WriterConfig{QueueLines: logQueueLines, LinesPerSecond: settings.LinesPerSecond})
+	writer := pollenlog.NewWriter(os.Stdout, pollenlog.WriterConfig{
+		QueueLines: logQueueLines, LinesPerSecond: settings.LinesPerSecond, Frequent: requestLine,
+	})
 	defer writer.Close()
 	frontend, err := pollenfront.New(settings, pollenlog.Setup(writer, "pollenentry", settings.Name))
 	if err != nil {
@@ -92,6 +94,9 @@
 // reloadInterval is how often the settings file is checked for changes made without a SIGHUP.
 const reloadInterval = 2 * time.Second
 
+// requestLine is part of the line that each request writes.
+const requestLine = `"Msg":"Request"`
+
 // logQueueLines bounds the number of queued log lines, which take a few hundred kilobytes.
 const logQueueLines = 512
 
