Drain open requests when a listener fails

Seen by callers: when a listener of an instance fails, also one that serves no callers, all open requests end without an answer. Cause: the instance returned the listener's error at once, and the process exited. Change: it stops as after SIGTERM and returns the error then. Evidence: TestFailedListenerEndsNoRequestWithoutAnswer fails before (unexpected EOF) and passes after.

--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -277,7 +277,7 @@
 	})
 }
 
-// Run serves until ctx is done, then drains open requests before it returns.
+// Run serves until ctx is done or a listener fails, then drains open requests before it returns.
 func (f *Frontend) Run(ctx context.Context) error {
 	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	serveErrors := make(chan error, len(f.httpServers)+1)
@@ -308,10 +308,10 @@
 		defer close(unregistered)
 		f.maintainRegistration(registrationCtx)
 	}()
+	var serveErr error
 	select {
-	case err := <-serveErrors:
-		cancelRegistration()
-		return err
+	case serveErr = <-serveErrors:
+		klog.ErrorS(serveErr, "A listener failed")
 	case <-ctx.Done():
 	}
 	plan := pollendrain.NewPlan(time.Now(), f.settings.Load().StopTimeout.Std())
@@ -322,7 +322,7 @@
 	<-unregistered
 	refused, ended := f.drain.Counts()
 	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
-	return nil
+	return serveErr
 }
 
 // maxLoggedRequests bounds the requests that the log names when the process exits.
--- a/pollenentry/pollenfront/restored_test.go
+++ b/pollenentry/pollenfront/restored_test.go
@@ -71,6 +71,16 @@
 
 // startStoppableFrontend is startFrontend for an instance that stops when the returned function is called.
 func startStoppableFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort, changes ...func(*Settings)) (*Frontend, func()) {
+	f, stop, stopped := runFrontend(t, c, name, store, changes...)
+	t.Cleanup(func() {
+		stop()
+		qt.Check(t, <-stopped, qt.IsNil)
+	})
+	return f, stop
+}
+
+// runFrontend runs an instance until the returned function is called, and sends the error of its run when its connections are closed.
+func runFrontend(t *testing.T, c *qt.C, name string, store netip.AddrPort, changes ...func(*Settings)) (*Frontend, func(), <-chan error) {
 	settings := DefaultSettings()
 	settings.Name, settings.Zone, settings.StoreAddress, settings.ProcessorShare = name, "zone-a", store, 1
 	for _, address := range []*netip.AddrPort{
@@ -95,11 +105,7 @@
 		}
 		stopped <- err
 	}()
-	t.Cleanup(func() {
-		cancel()
-		qt.Check(t, <-stopped, qt.IsNil)
-	})
-	return f, cancel
+	return f, cancel, stopped
 }
 
 // waitFor waits until a condition holds and fails the test if it does not within a time.
--- a/pollenentry/pollenfront/stop_test.go
+++ b/pollenentry/pollenfront/stop_test.go
@@ -91,3 +91,32 @@
 		})
 	}
 }
+
+// Guards against an instance that exits at once when one of its listeners fails, and ends open requests without an answer.
+func TestFailedListenerEndsNoRequestWithoutAnswer(t *testing.T) {
+	c := qt.New(t)
+	store, ledger := newStoreServer(t), pollenfakeplatform.NewLedger()
+	_, err := pollenfakeplatform.PutConfiguration(t.Context(), store.store, pollenfakeplatform.Configuration{
+		Version: 1, Services: []string{"x"}, Connections: 10, Routes: []pollenfakeplatform.Route{
+			{Name: "one", Host: "h", Prefix: "/", Service: "x", Timeout: 5 * time.Second, Objective: time.Second, Attempts: 1},
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	server, err := pollenfakeplatform.StartServer(pollenfakeplatform.ServerConfig{
+		ID: "i-1", Service: "x", Zone: "zone-a", Slots: 1, MeanWork: 300 * time.Millisecond, Store: store.store, Ledger: ledger, HeartbeatInterval: time.Second,
+	})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(server.Kill)
+	server.Advertise(server.Address())
+	f, _, stopped := runFrontend(t, c, "entry", store.address, func(s *Settings) { s.StopTimeout = pollensettings.Duration(2 * time.Second) })
+	waitFor(c, 10*time.Second, "instance that knows the server", func() bool { return f.ready() && len(f.view.Table().ServersOf("x")) == 1 })
+	caller := &pollenfakeplatform.Caller{
+		Directories: []netip.AddrPort{f.settings.Load().DirectoryAddress}, Pick: func(int) int { return 0 },
+		OnWritten: func(netip.AddrPort) { time.AfterFunc(50*time.Millisecond, func() { _ = f.httpServers[2].Close() }) },
+	}
+	t.Cleanup(caller.Close)
+	outcome := caller.Send(t.Context(), pollenfakeplatform.Request{ID: "r", Method: http.MethodPost, Host: "h", Path: "/", Timeout: 5 * time.Second})
+	c.Assert(outcome.Err, qt.IsNil)
+	c.Assert(outcome.Status, qt.Equals, http.StatusOK)
+	c.Assert(<-stopped, qt.ErrorIs, http.ErrServerClosed)
+}
