Outlive the reader of the log, and a hang-up

Seen by callers: an instance ends by itself, with all its open requests, when the process that reads its standard output ends. pollenentry serve also ended at SIGHUP, which operators send to processes whose settings have changed. Cause: a write to a closed standard output ends a Go program with SIGPIPE, and SIGHUP was handled by front only. Change: both commands ignore SIGPIPE, serve also SIGHUP; its settings can't change at run time.

--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -60,6 +60,7 @@
 func serveFront(ctx context.Context, file string) error {
 	// Signal handlers are installed first, since a signal during startup would otherwise terminate the process.
 	ctx = pollencommand.UntilSignal(ctx)
+	ignoreClosedOutput()
 	hangupSignals := make(chan os.Signal, 1)
 	signal.Notify(hangupSignals, syscall.SIGHUP)
 	if path := os.Getenv(settingsPathEnv); path != "" {
@@ -100,14 +101,21 @@
 // logQueueLines bounds the number of queued log lines, which take a few hundred kilobytes.
 const logQueueLines = 512
 
-// serve runs an instance until SIGTERM or SIGINT.
+// ignoreClosedOutput keeps the process running when the reader of its log has gone: a write to a closed standard output would end it, and
+// all open requests with it.
+func ignoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
+// serve runs an instance until SIGTERM or SIGINT. It ignores SIGHUP, as its settings can't change at run time.
 func serve(ctx context.Context, file string) error {
+	ctx = pollencommand.UntilSignal(ctx)
+	ignoreClosedOutput()
+	signal.Ignore(syscall.SIGHUP)
 	settings := polleninstance.DefaultSettings()
 	if err := pollensettings.Load(file, settings); err != nil {
 		return err
 	}
 	logger := pollenlog.Setup(os.Stderr, "pollenentry", settings.Name)
-	return polleninstance.New(polleninstance.NetworkConfig(settings, logger)).Run(pollencommand.UntilSignal(ctx))
+	return polleninstance.New(polleninstance.NetworkConfig(settings, logger)).Run(ctx)
 }
 
 // checkSettings validates a settings file and prints the result.
