Log panics of request handlers as errors

Seen by operators: nothing, when a handler panics: the connection ends without an answer and the report of net/http went to the debug level. Change: such reports are errors; others, which callers cause, stay details.

--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,7 @@
 	"reflect"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -364,10 +366,27 @@
 func (f *Frontend) newHTTPServer(address netip.AddrPort, handler http.Handler) *http.Server {
 	return &http.Server{
 		Addr: address.String(), Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		ErrorLog: log.New(serverLog{}, "", 0),
 	}
 }
 
+// serverLog writes what an HTTP server reports: panics of its handlers, which end connections without an answer, as errors, and what callers
+// cause as details.
+type serverLog struct{}
+
+// panicPrefix begins the reports of panics.
+const panicPrefix = "http: panic"
+
+func (serverLog) Write(report []byte) (int, error) {
+	text := strings.TrimSpace(string(report))
+	if strings.HasPrefix(text, panicPrefix) {
+		klog.ErrorS(nil, "Request handler panicked", "report", text)
+	} else {
+		slog.Debug(text)
+	}
+	return len(report), nil
+}
+
 const (
 	// readHeaderTimeout bounds how long a caller may take to send the headers of a request.
 	readHeaderTimeout = 10 * time.Second
