Refuse a request that waits for another instance when this one stops

Seen by callers: a request that the instance could not hand to another one until its final answer was due got 504, which says that it may have run, although nothing had been sent; one that may run once only can't be repeated then. Cause: a pass that ended with the stop counted as sent whatever its result was. Change: if neither this instance nor another has sent it, the request is refused. Evidence: TestRequestThatWaitsForOtherInstanceIsRefusedAtStop fails before and passes after.

--- a/pollen/pollenforward/drain_test.go
+++ b/pollen/pollenforward/drain_test.go
@@ -94,3 +94,30 @@
 		})
 	}
 }
+
+// unconnectedPasser is a Passer that waits for a connection until the request ends.
+type unconnectedPasser struct{}
+
+func (unconnectedPasser) Pass(ctx context.Context, instance pollencatalog.Instance, _ *Request, _ time.Time) (*Reply, error) {
+	<-ctx.Done()
+	return nil, &UnsentError{Server: instance.Name, Err: ctx.Err()}
+}
+
+// Guards against a caller who is told that a request may have run, and may not repeat it, although nothing has been sent when the instance stops.
+func TestRequestThatWaitsForOtherInstanceIsRefusedAtStop(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(1, 100)
+		drain := pollendrain.New()
+		h.forwarder.config.Drain, h.forwarder.config.Reach = drain, lostTracker()
+		h.forwarder.config.Passer, h.forwarder.config.Peers = unconnectedPasser{}, pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2)))
+		h.forwarder.config.Others = func() []pollencatalog.Instance { return []pollencatalog.Instance{{Name: "entry-2", Ready: true}} }
+		route := unshardedRoute(false)
+		route.Timeout = 20 * time.Second
+		plan := pollendrain.NewPlan(time.Now().Add(500*time.Millisecond), 2*time.Second)
+		time.AfterFunc(time.Until(plan.Begin), func() { drain.Start(plan) })
+		_, _, err := h.forwarder.Serve(t.Context(), route, &Request{ID: "r", Received: time.Now()})
+		c.Assert(err, qt.ErrorAs, new(*RefusedError))
+		c.Assert(time.Now().Equal(plan.LastAnswer), qt.IsTrue)
+	})
+}
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -112,7 +112,7 @@
 		}
 		switch {
 		case ctx.Err() != nil && err != nil:
-			return nil, c.passEnded(ctx)
+			return nil, c.passEnded(ctx, mayHaveRun || (unsent == nil && !isRefused))
 		case unsent != nil:
 			c.stats.LastFailure = err.Error()
 		case isRefused:
@@ -151,10 +151,13 @@
 	}
 }
 
-// passEnded returns the error of a request that ended while another instance had it.
-func (c *call) passEnded(ctx context.Context) error {
+// passEnded returns the error of a request that ended while it was passed on; mayHaveRun is set if another instance may have it, or a server
+// may have run it.
+func (c *call) passEnded(ctx context.Context, mayHaveRun bool) error {
 	var stopped *pollendrain.StoppedError
 	switch {
+	case errors.As(context.Cause(ctx), &stopped) && !mayHaveRun:
+		return c.stopRefusal()
 	case errors.As(context.Cause(ctx), &stopped):
 		return c.stoppedError()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
