Send nothing more once the final answers of a stop are due

A subrequest that waited for capacity could be sent in the moment in which its call ended because the instance stops: work for an answer that no one gets. Found by reading, in the review of the incident; no run showed it.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -118,7 +118,9 @@
 				return nil, err
 			}
 		}
-		c.sendPending(time.Now())
+		if !c.stopped {
+			c.sendPending(time.Now())
+		}
 	}
 	c.awaitShared(ctx)
 	return c.finish(time.Now())
