Exit with open requests only just before the platform kills the process

Seen by callers: on a machine with little processor time, final answers that are due at 0.85 of the stop timeout were still being sent when the process exited at 0.93, and their connections ended without an answer. Change: the process exits at 0.97 of the stop timeout if requests are open then; without open requests it exits as before. An exit saves nothing that the kill would not end.

--- a/pollen/pollendrain/plan.go
+++ b/pollen/pollendrain/plan.go
@@ -11,7 +11,8 @@
 	// lastAnswerShare leaves time to send the final answers of all open requests before the exit, also on an instance that gets little
 	// processor time.
 	lastAnswerShare = 0.85
-	exitShare       = 0.93
+	// exitShare ends a process that has open requests only just before the platform kills it.
+	exitShare = 0.97
 )
 
 // latencyMargin is the number of usual longest latencies that must be left for a request: the servers' queues may be longer than
