--- a/pollenentry/main.go
+++ b/pollenentry/main.go
@@ -60,6 +60,7 @@
 func serveFront(ctx context.Context, file string) error {
 	// Signal handlers are installed first, since a signal during startup would otherwise terminate the process.
 	ctx = pollencommand.UntilSignal(ctx)
+	ignoreClosedOutput()
 	hangupSignals := make(chan os.Signal, 1)
 	signal.Notify(hangupSignals, syscall.SIGHUP)
 	if path := os.Getenv(settingsPathEnv); path != "" {
@@ -69,7 +70,9 @@
 	if err := pollensettings.Load(file, settings); err != nil {
 		return err
 	}
-	writer := pollenlog.NewWriter(os.Stdout, pollenlog.WriterConfig{QueueLines: logQueueLines, LinesPerSecond: settings.LinesPerSecond})
+	writer := pollenlog.NewWriter(os.Stdout, pollenlog.WriterConfig{
+		QueueLines: logQueueLines, LinesPerSecond: settings.LinesPerSecond, Frequent: requestLine,
+	})
 	defer writer.Close()
 	frontend, err := pollenfront.New(settings, pollenlog.Setup(writer, "pollenentry", settings.Name))
 	if err != nil {
@@ -92,17 +95,27 @@
 // reloadInterval is how often the settings file is checked for changes made without a SIGHUP.
 const reloadInterval = 2 * time.Second
 
+// requestLine is part of the line that each request writes.
+const requestLine = `"Msg":"Request"`
+
 // logQueueLines bounds the number of queued log lines, which take a few hundred kilobytes.
 const logQueueLines = 512
 
-// serve runs an instance until SIGTERM or SIGINT.
+// ignoreClosedOutput keeps the process running when the reader of its log has gone: a write to a closed standard output would end it, and
+// all open requests with it.
+func ignoreClosedOutput() { signal.Ignore(syscall.SIGPIPE) }
+
+// serve runs an instance until SIGTERM or SIGINT. It ignores SIGHUP, as its settings can't change at run time.
 func serve(ctx context.Context, file string) error {
+	ctx = pollencommand.UntilSignal(ctx)
+	ignoreClosedOutput()
+	signal.Ignore(syscall.SIGHUP)
 	settings := polleninstance.DefaultSettings()
 	if err := pollensettings.Load(file, settings); err != nil {
 		return err
 	}
 	logger := pollenlog.Setup(os.Stderr, "pollenentry", settings.Name)
-	return polleninstance.New(polleninstance.NetworkConfig(settings, logger)).Run(pollencommand.UntilSignal(ctx))
+	return polleninstance.New(polleninstance.NetworkConfig(settings, logger)).Run(ctx)
 }
 
 // checkSettings validates a settings file and prints the result.
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -11,6 +12,7 @@
 	"reflect"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -281,7 +283,7 @@
 	})
 }
 
-// Run serves until ctx is done, then drains open requests before it returns.
+// Run serves until ctx is done or a listener fails, then drains open requests before it returns.
 func (f *Frontend) Run(ctx context.Context) error {
 	serveErrors := make(chan error, len(f.httpServers)+1)
 	var listeners []net.Listener
@@ -311,10 +313,10 @@
 		defer close(unregistered)
 		f.maintainRegistration(registrationCtx)
 	}()
+	var serveErr error
 	select {
-	case err := <-serveErrors:
-		cancelRegistration()
-		return err
+	case serveErr = <-serveErrors:
+		klog.ErrorS(serveErr, "A listener failed")
 	case <-ctx.Done():
 	}
 	plan := pollendrain.NewPlan(time.Now(), f.settings.Load().StopTimeout.Std())
@@ -325,7 +327,7 @@
 	<-unregistered
 	refused, ended := f.drain.Counts()
 	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
-	return nil
+	return serveErr
 }
 
 // maxLoggedRequests bounds the requests that the log names when the process exits.
@@ -367,8 +369,25 @@
 func (f *Frontend) newHTTPServer(address netip.AddrPort, handler http.Handler) *http.Server {
 	return &http.Server{
 		Addr: address.String(), Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		ErrorLog: log.New(serverLog{}, "", 0),
+	}
+}
+
+// serverLog writes what an HTTP server reports: panics of its handlers, which end connections without an answer, as errors, and what callers
+// cause as details.
+type serverLog struct{}
+
+// panicPrefix begins the reports of panics.
+const panicPrefix = "http: panic"
+
+func (serverLog) Write(report []byte) (int, error) {
+	text := strings.TrimSpace(string(report))
+	if strings.HasPrefix(text, panicPrefix) {
+		klog.ErrorS(nil, "Request handler panicked", "report", text)
+	} else {
+		slog.Debug(text)
 	}
+	return len(report), nil
 }
 
 const (
