Wait until the callers' server accepts no more before a stop ends its connections

Cause: http.Server.Shutdown closes the listener again if Serve has not returned since the drain closed it. A connection that was being accepted was also not known to the drain yet. Change: the drain waits for Serve to return after it has closed the listener.

--- a/pollenentry/pollenfront/drain.go
+++ b/pollenentry/pollenfront/drain.go
@@ -14,6 +14,10 @@
 //
 // http.Server.Shutdown does not suffice: from its call on the server closes, without an answer, connections on which it reads a request.
 type connTracker struct {
+	server *http.Server
+	// served is closed when serve returns.
+	served chan struct{}
+
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
 }
@@ -26,13 +30,19 @@
 	expired bool
 }
 
-// newConnTracker returns the tracker of a server that has not been started, and sets the server's hook.
+// newConnTracker returns the tracker of a server that serve will start, and sets the server's hook.
 func newConnTracker(server *http.Server) *connTracker {
-	t := &connTracker{conns: make(map[net.Conn]*callerConn)}
+	t := &connTracker{server: server, served: make(chan struct{}), conns: make(map[net.Conn]*callerConn)}
 	server.ConnState = t.setState
 	return t
 }
 
+// serve serves the listener's connections until it is closed.
+func (t *connTracker) serve(listener net.Listener) error {
+	defer close(t.served)
+	return t.server.Serve(listener)
+}
+
 func (t *connTracker) setState(conn net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -91,14 +101,16 @@
 // answers, and shuts the server down. All answers must tell their callers to close the connection.
 //
 // It returns at the plan's exit, or once no connection is open.
-func (t *connTracker) drain(server *http.Server, listener net.Listener, plan pollendrain.Plan) error {
+func (t *connTracker) drain(listener net.Listener, plan pollendrain.Plan) error {
 	time.Sleep(time.Until(plan.Close))
 	// The listener is closed for good even if closing it reports an error.
 	_ = listener.Close()
+	// From then on all connections that were accepted are known, and Shutdown finds no listener to close again.
+	<-t.served
 	for t.endUnused(firstRequestTimeout) > 0 && time.Now().Before(plan.LastAnswer) {
 		time.Sleep(drainPollInterval)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), plan.Exit)
 	defer cancel()
-	return server.Shutdown(ctx)
+	return t.server.Shutdown(ctx)
 }
--- a/pollenentry/pollenfront/drain_test.go
+++ b/pollenentry/pollenfront/drain_test.go
@@ -108,7 +108,7 @@
 					}
 				})}
 				tracker := newConnTracker(server)
-				go func() { _ = server.Serve(listener) }()
+				go func() { _ = tracker.serve(listener) }()
 				start := time.Now()
 				served := make(chan bool, 1)
 				defer server.Close()
@@ -118,7 +118,7 @@
 					served <- err == nil && status == 200
 				}()
 				time.Sleep(2 * time.Second)
-				err := tracker.drain(server, listener, pollendrain.NewPlan(time.Now(), stopTimeout))
+				err := tracker.drain(listener, pollendrain.NewPlan(time.Now(), stopTimeout))
 				drainTime := time.Since(start) - 2*time.Second
 				c.Assert(errors.Is(err, context.DeadlineExceeded), qt.Equals, drainTime > 5500*time.Millisecond)
 				// Shutdown polls for idle connections at intervals of up to 500 ms.
@@ -170,7 +170,7 @@
 		c.Assert(err, qt.IsNil)
 		server := &http.Server{ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
 		tracker := newConnTracker(server)
-		go func() { _ = server.Serve(countingListener{Listener: listener, reads: &reads}) }()
+		go func() { _ = tracker.serve(countingListener{Listener: listener, reads: &reads}) }()
 		var wg sync.WaitGroup
 		for range callers {
 			wg.Go(func() {
@@ -191,7 +191,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 		now := time.Now()
-		c.Assert(tracker.drain(server, listener, pollendrain.Plan{Close: now, LastAnswer: now.Add(5 * time.Second), Exit: now.Add(10 * time.Second)}), qt.IsNil)
+		c.Assert(tracker.drain(listener, pollendrain.Plan{Close: now, LastAnswer: now.Add(5 * time.Second), Exit: now.Add(10 * time.Second)}), qt.IsNil)
 		wg.Wait()
 	}
 	c.Assert(served.Load() > 0, qt.IsTrue)
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -283,14 +283,17 @@
 func (f *Frontend) Run(ctx context.Context) error {
 	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	serveErrors := make(chan error, len(f.httpServers)+1)
-	var listeners []net.Listener
+	var callerListener net.Listener
 	for _, server := range f.httpServers {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil {
 			return &ListenError{Address: server.Addr, Err: err}
 		}
-		listeners = append(listeners, listener)
-		go func() { serveErrors <- server.Serve(listener) }()
+		serve := server.Serve
+		if server == f.httpServers[0] {
+			callerListener, serve = listener, f.callerConns.serve
+		}
+		go func() { serveErrors <- serve(listener) }()
 	}
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -320,7 +323,7 @@
 	f.drain.Start(plan)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	cancelRegistration()
-	f.logCutOff(f.callerConns.drain(f.httpServers[0], listeners[0], plan))
+	f.logCutOff(f.callerConns.drain(callerListener, plan))
 	<-unregistered
 	refused, ended := f.drain.Counts()
 	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
