Tests of the stop: stages of open requests, and the listener of callers

The review of the incident found four mutations that no test caught: a drain that does not close the listener, or closes the directory's, a missing stage, and an open request that is never removed. Each fails a test now.

--- a/pollen/pollenforward/drain_test.go
+++ b/pollen/pollenforward/drain_test.go
@@ -28,13 +28,15 @@
 func TestOpenRequestsEndWithTheirInstance(t *testing.T) {
 	tests := []struct {
 		name string
+		// stage is how far the requests have come that get their final answers at the end.
+		stage pollendrain.Stage
 		// cutOff is set if the instance passes its requests on.
 		cutOff bool
 		// waiting is set if some requests wait for capacity when the stop begins.
 		waiting bool
 	}{
-		{name: "servers have some, the others wait", waiting: true},
-		{name: "another instance has them", cutOff: true},
+		{name: "servers have some, the others wait", stage: pollendrain.Sent, waiting: true},
+		{name: "another instance has them", stage: pollendrain.Passed, cutOff: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -61,6 +63,11 @@
 				}
 				plan := pollendrain.NewPlan(time.Now().Add(500*time.Millisecond), 2*time.Second)
 				time.AfterFunc(time.Until(plan.Begin), func() { drain.Start(plan) })
+				time.AfterFunc(time.Until(plan.LastAnswer)-time.Millisecond, func() {
+					for _, open := range drain.Open().List() {
+						c.Check(open.Stage(), qt.Equals, test.stage)
+					}
+				})
 				var mu sync.Mutex
 				refused, ended := 0, 0
 				var calls sync.WaitGroup
@@ -86,6 +93,7 @@
 					})
 				}
 				calls.Wait()
+				c.Assert(drain.Open().List(), qt.HasLen, 0)
 				c.Assert(refused > 0, qt.Equals, test.waiting)
 				c.Assert(ended > 0, qt.IsTrue)
 				countedRefusals, countedEnds := drain.Counts()
--- a/pollenentry/pollenfront/stop_test.go
+++ b/pollenentry/pollenfront/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -77,6 +78,15 @@
 			time.AfterFunc(time.Until(begin), stop)
 			time.Sleep(time.Until(begin.Add(test.sentAfter)))
 			var wg sync.WaitGroup
+			wg.Go(func() {
+				// The listener must be closed while requests are open.
+				time.Sleep(time.Until(begin.Add(stopTimeout * 3 / 4)))
+				conn, err := net.Dial("tcp", f.settings.Load().CallerAddress.String())
+				if err == nil {
+					_ = conn.Close()
+				}
+				c.Check(err, qt.IsNotNil)
+			})
 			for n := range callers {
 				wg.Go(func() {
 					id := fmt.Sprintf("r-%d", n)
