--- a/pollenbench/pollensoak/regression.go
+++ b/pollenbench/pollensoak/regression.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"time"
 )
 
 //go:embed testdata/regressions.json
@@ -14,14 +15,22 @@
 	Seed    uint64
 	Promise string
 	Cause   string
-	// FaultKindCount is the number of kinds of faults that there were; zero if FaultKinds names them.
+	// FaultKindCount is the number of kinds of faults that there were; zero if FaultKinds names them, and with LoadStops.
 	FaultKindCount int
 	FaultKinds     []string
+	// Load is LoadStops for a run of planned stops, whose mean work takes WorkMillis; empty for others.
+	Load        string
+	WorkMillis  int
+	SlowServers bool
 }
 
-// Config returns the configuration with the seed and the kinds of faults of the regression.
+// Config returns the configuration with the seed, the load and the kinds of faults of the regression.
 func (r Regression) Config(config Config) Config {
 	config.Seed, config.FaultKinds = r.Seed, r.FaultKinds
+	config.Load, config.SlowServers = r.Load, r.SlowServers
+	if r.WorkMillis > 0 {
+		config.MeanWork = time.Duration(r.WorkMillis) * time.Millisecond
+	}
 	for _, f := range faultKinds[:r.FaultKindCount] {
 		config.FaultKinds = append(config.FaultKinds, f.name)
 	}
--- a/pollenbench/pollensoak/soak_test.go
+++ b/pollenbench/pollensoak/soak_test.go
@@ -67,7 +67,14 @@
 		c.Check(known[r.Promise] && r.Cause != "", qt.IsTrue, qt.Commentf("%v", r))
 		_, err := newPlan(r.Config(Config{Duration: time.Second}))
 		c.Check(err, qt.IsNil)
-		c.Check((r.FaultKindCount > 0) != (len(r.FaultKinds) > 0), qt.IsTrue, qt.Commentf("%v", r))
+		// Each regression names its kinds of faults in one way, or plays planned stops.
+		named := 0
+		for _, is := range []bool{r.FaultKindCount > 0, len(r.FaultKinds) > 0, r.Load == LoadStops} {
+			if is {
+				named++
+			}
+		}
+		c.Check(named, qt.Equals, 1, qt.Commentf("%v", r))
 	}
 }
 
--- a/pollenbench/soak.go
+++ b/pollenbench/soak.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -112,7 +113,7 @@
 	return s.runAll(ctx, configs)
 }
 
-// selectRuns returns the configurations of the runs, one for each seed.
+// selectRuns returns the configurations of the runs, one for each seed or for each recorded one with its kinds of faults.
 func (s *soakFlags) selectRuns() ([]pollensoak.Config, error) {
 	var configs []pollensoak.Config
 	if !s.regressions {
@@ -125,8 +126,9 @@
 	}
 	regressions, err := pollensoak.Regressions()
 	for _, r := range regressions {
-		if !slices.ContainsFunc(configs, func(c pollensoak.Config) bool { return c.Seed == r.Seed }) {
-			configs = append(configs, r.Config(s.config))
+		config := r.Config(s.config)
+		if !slices.ContainsFunc(configs, func(c pollensoak.Config) bool { return reflect.DeepEqual(c, config) }) {
+			configs = append(configs, config)
 		}
 	}
 	return configs, err
@@ -139,10 +141,18 @@
 	var runErr error
 	var runs sync.WaitGroup
 	slots := make(chan struct{}, max(1, s.parallel))
+	// The addresses of a run depend on its seed, so that runs with the same seed can't be concurrent.
+	seedLocks := make(map[uint64]*sync.Mutex)
 	for _, config := range configs {
+		if seedLocks[config.Seed] == nil {
+			seedLocks[config.Seed] = &sync.Mutex{}
+		}
+		seedLock := seedLocks[config.Seed]
 		slots <- struct{}{}
 		runs.Go(func() {
 			defer func() { <-slots }()
+			seedLock.Lock()
+			defer seedLock.Unlock()
 			report, err := pollensoak.Run(ctx, config)
 			mu.Lock()
 			defer mu.Unlock()
