Take idempotent requests during a stop by what they usually need

Seen by callers: of idempotent requests with heavy-tailed work, most or all that came after SIGTERM were refused. A refusal costs the caller its one retry, and in a series of stops the next instance refuses it, too. Cause: requests were taken only if twice the 99th percentile of the route's latencies was left, whether they may be repeated or not. Change: an idempotent request is taken if three in four of its route take at most what is left; one that turns out too long gets a true final answer. Requests that may run once only are taken as before.

--- a/pollen/pollendrain/plan.go
+++ b/pollen/pollendrain/plan.go
@@ -14,9 +14,25 @@
 	exitShare       = 0.93
 )
 
-// latencyMargin is the number of usual longest latencies that must be left for a request: the servers' queues may be longer than
-// those that the latencies were measured with.
-const latencyMargin = 2
+const (
+	// idempotentQuantile is the quantile of latencies that must be left for an idempotent request. Most of those that take longer are
+	// served elsewhere, at the cost of the time until the final answer; a refusal always costs the caller a retry, of which it may have
+	// one, and the next instance may be stopping, too.
+	idempotentQuantile = 0.75
+	// onceQuantile is the quantile for a request that may run once only. Its caller may not repeat it if it turns out too long.
+	onceQuantile = 0.99
+	// onceMargin is the number of such latencies that must be left for a request that may run once only: the servers' queues may be longer
+	// than those that the latencies were measured with.
+	onceMargin = 2
+)
+
+// LatencyQuantile returns the quantile of a route's latencies by which a stopping instance decides whether it takes a request.
+func LatencyQuantile(idempotent bool) float64 {
+	if idempotent {
+		return idempotentQuantile
+	}
+	return onceQuantile
+}
 
 // Plan holds the times of a stop.
 type Plan struct {
@@ -42,24 +58,28 @@
 	Idempotent bool
 	// End is when the request ends at the latest, by the timeouts of its caller and its route.
 	End time.Time
-	// LongestLatency is how long nearly all requests of its kind take at most; zero if that is not known.
-	LongestLatency time.Duration
+	// Latency is the LatencyQuantile of the requests of its kind; zero if that is not known.
+	Latency time.Duration
 }
 
 // Takes reports whether the instance, as it stops, takes a request that has not been sent to a server.
 //
-// Load pattern: callers with cached answers of the directory send long requests shortly before the process exits. Other instances can
-// serve what this one refuses, as long as no server has run it. Latencies of the past are not enough for a request that may run once
-// only, unless it comes while callers may rightly use the instance: when many come at once, half of them wait in the servers' queues.
+// Load pattern: callers with kept connections or cached answers of the directory send long requests shortly before the process exits, while
+// other instances stop, too. What this one refuses, another can serve, as long as no server has run it. Latencies of the past are not enough for
+// a request that may run once only, unless it comes while callers may rightly use the instance: when many come at once, half of them wait
+// in the servers' queues.
 func (p Plan) Takes(r Request, now time.Time) bool {
 	timeLeft := p.LastAnswer.Sub(now)
+	cachesValid := now.Before(p.CachesExpire)
 	switch {
 	case timeLeft <= 0:
 		return false
 	case !r.End.After(p.LastAnswer):
 		return true
-	case !r.Idempotent && !now.Before(p.CachesExpire):
-		return false
+	case r.Idempotent && r.Latency == 0:
+		return cachesValid
+	case r.Idempotent:
+		return r.Latency <= timeLeft
 	}
-	return r.LongestLatency > 0 && latencyMargin*r.LongestLatency <= timeLeft
+	return cachesValid && r.Latency > 0 && onceMargin*r.Latency <= timeLeft
 }
--- a/pollen/pollenforward/drain.go
+++ b/pollen/pollenforward/drain.go
@@ -7,9 +7,6 @@
 	"pollenline.example/pollen/pollendrain"
 )
 
-// longestQuantile is the quantile of a route's latencies that counts as the longest one.
-const longestQuantile = 0.99
-
 // refuseStopping returns a *RefusedError if the instance is stopping and does not take the call. Another instance can take it at once.
 func (c *call) refuseStopping(now time.Time) error {
 	plan, stopping := c.forwarder.config.Drain.Plan()
@@ -18,7 +15,7 @@
 	}
 	request := pollendrain.Request{
 		Idempotent: c.route.Idempotent, End: c.schedule.End,
-		LongestLatency: c.forwarder.config.Ranking.LatencyQuantile(c.route.Name, longestQuantile),
+		Latency: c.forwarder.config.Ranking.LatencyQuantile(c.route.Name, pollendrain.LatencyQuantile(c.route.Idempotent)),
 	}
 	if plan.Takes(request, now) {
 		return nil
