Tests of passing on: give their calls an open request

TestPassedRequestIsChargedOnce and TestInstanceThatPassesOnLearnsOfLeavingServer panic since calls record their stage in the list of open requests: both make a call by hand, without its entry in that list, and end the package's whole run.

The calls have an entry now. Nothing that the tests check has changed; both panicked before and pass.

--- a/pollen/pollenforward/heldback_test.go
+++ b/pollen/pollenforward/heldback_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenreach"
 )
@@ -263,7 +264,7 @@
 		other.exchanger.set("b0", behaviour{leaving: true})
 		h.forwarder.config.Passer, h.forwarder.config.Peers = relay{other}, pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2)))
 		h.forwarder.config.Others = func() []pollencatalog.Instance { return []pollencatalog.Instance{{Name: "entry-2"}} }
-		call := &call{forwarder: h.forwarder, request: newRequest(), stats: &Stats{}, schedule: Schedule{End: time.Now().Add(time.Second), CallerDeadline: time.Now().Add(time.Second)}}
+		call := &call{open: &pollendrain.OpenRequest{}, forwarder: h.forwarder, request: newRequest(), stats: &Stats{}, schedule: Schedule{End: time.Now().Add(time.Second), CallerDeadline: time.Now().Add(time.Second)}}
 		reply, err := call.pass(t.Context(), nil, false)
 		c.Assert(err, qt.IsNil)
 		c.Assert(reply.Leaving, qt.IsNil)
--- a/pollen/pollenforward/team_test.go
+++ b/pollen/pollenforward/team_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollenreach"
 )
 
@@ -50,7 +51,7 @@
 			c := qt.New(t)
 			passer := &fixedPasser{err: test.err}
 			end := time.Now().Add(time.Minute)
-			call := &call{stats: &Stats{}, request: &Request{}, schedule: Schedule{End: end, CallerDeadline: end}, forwarder: New(Config{
+			call := &call{open: &pollendrain.OpenRequest{}, stats: &Stats{}, request: &Request{}, schedule: Schedule{End: end, CallerDeadline: end}, forwarder: New(Config{
 				Passer: passer, Peers: pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2))),
 				Others: func() []pollencatalog.Instance { return []pollencatalog.Instance{{Name: "b"}, {Name: "c"}} },
 			})}
