Decide by probes, not by silence, whether servers are reached

Cause: a server that left its requests unanswered for 0.4 s counted as not reached, and so did one that left a request that was given up. One instance that was wrong passed its requests on, which made servers more silent for the others, until all said the same.

Change: silence of 150 ms is a suspicion. If the instance would be cut off in case all suspected servers were lost, it tries to connect to five of them, and only connections that can't be made count. Where something takes connections for servers that are not reached, silence counts after four times the 0.99 quantile of the route, a second at least, once that is known. The log says which servers are not reached, on what evidence, and how old it is.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -31,6 +31,8 @@
 	results chan result
 	// exchangeCtx ends the attempts; it may outlive the call by LateAnswerTimeout.
 	exchangeCtx context.Context
+	// usualLatency is the time that servers rarely exceed on the route; zero if it is not known.
+	usualLatency time.Duration
 	// caution states to how many servers the call may be sent before one has answered.
 	caution pollensuspect.Decision
 	// answered is set once a server has answered an attempt, so that the request does not end those that run it.
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -114,10 +114,11 @@
 			Route: route, Received: request.Received, CallerTimeout: request.CallerTimeout,
 			CallerRoundTrip: f.config.CallerRoundTrip, LatencyQuantile: f.config.Ranking.LatencyQuantile(route.Name, 1-hedgeBudgetShare*f.config.Budget.Ratio()),
 		}),
-		callerRetry: !request.Passed && f.callerRetries.isRetry(route.Name, request.CallerTimeout, request.Received),
-		subrequests: make([]subrequest, len(services)),
-		caution:     pollensuspect.Send,
-		results:     make(chan result, len(services)*(route.Attempts+extraSends)),
+		usualLatency: f.config.Ranking.UsualLatency(route.Name),
+		callerRetry:  !request.Passed && f.callerRetries.isRetry(route.Name, request.CallerTimeout, request.Received),
+		subrequests:  make([]subrequest, len(services)),
+		caution:      pollensuspect.Send,
+		results:      make(chan result, len(services)*(route.Attempts+extraSends)),
 	}
 	repeated := f.callerRetries.repeatsRefused(request.Content, request.Received)
 	c.callerRetry = c.callerRetry || (repeated && !request.Passed)
@@ -186,6 +187,9 @@
 	ServedElsewhere bool
 	// HeldBack counts the servers of the request's services that got no requests when it was refused, by reason.
 	HeldBack pollengate.Counts
+	// Evidence says which servers were not reached or not available when the request was passed on or refused for want of them,
+	// and why.
+	Evidence string
 	// LastFailure describes the newest failed attempt.
 	LastFailure string
 	// LastServer is the ID of the server that got the newest request.
@@ -204,6 +208,9 @@
 	if heldBack := s.HeldBack.String(); heldBack != "" {
 		fields = append(fields, "heldBack", heldBack)
 	}
+	if s.Evidence != "" {
+		fields = append(fields, "evidence", s.Evidence)
+	}
 	if s.LastFailure != "" {
 		fields = append(fields, "lastFailure", s.LastFailure)
 	}
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -55,6 +55,7 @@
 	}
 	if f.config.Passer == nil || c.request.Passed {
 		if c.request.Passed && f.config.Reach.CutOff() {
+			c.recordReachEvidence(time.Now())
 			return nil, &RefusedError{Cause: "this instance reaches no servers", Unreached: true, RetryAfter: RetryAfterOutage(time.Until(c.schedule.End))}
 		}
 		reply, err := c.run(ctx)
@@ -67,6 +68,7 @@
 		if err := c.decideCaution(time.Now()); err != nil {
 			return nil, err
 		}
+		c.recordReachEvidence(time.Now())
 		return c.pass(ctx, nil, false)
 	}
 	reply, err := c.run(ctx)
@@ -75,6 +77,7 @@
 	switch {
 	case errors.As(err, &lost):
 		c.request.AttemptsUsed = lost.attemptsUsed
+		c.recordReachEvidence(time.Now())
 		return c.pass(ctx, nil, lost.mayHaveRun)
 	case errors.As(err, &refused) && refused.Unreached && time.Now().UnixNano() >= f.passing.pausedUntil.Load():
 		return c.pass(ctx, refused, false)
@@ -82,6 +85,11 @@
 	return reply, err
 }
 
+// recordReachEvidence records for the log why this instance is cut off.
+func (c *call) recordReachEvidence(now time.Time) {
+	c.stats.Evidence = c.forwarder.config.Reach.Evidence().Format(now)
+}
+
 // pass passes the call on to other instances, one after another, until one has served it. If none does, it returns the refusal that led here, if
 // any.
 func (c *call) pass(ctx context.Context, own *RefusedError, mayHaveRun bool) (*Reply, error) {
--- a/pollen/pollenforward/pass_test.go
+++ b/pollen/pollenforward/pass_test.go
@@ -29,6 +29,8 @@
 	cutHangs
 	// cutResets breaks connections and refuses new ones.
 	cutResets
+	// cutRefuses refuses new connections, while those that are open live on.
+	cutRefuses
 )
 
 const (
@@ -64,12 +66,15 @@
 
 func (e *cutExchanger) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
 
-func (e *cutExchanger) Connect(_ context.Context, server *pollencatalog.Server, _ int) error {
+func (e *cutExchanger) Connect(ctx context.Context, server *pollencatalog.Server, _ int) error {
 	switch mode, _ := e.current(); mode {
 	case cutHangs:
-		time.Sleep(testDialTime)
+		select {
+		case <-time.After(testDialTime):
+		case <-ctx.Done():
+		}
 		return &UnsentError{Server: server.ID, Unconnected: true, Err: context.DeadlineExceeded}
-	case cutResets:
+	case cutResets, cutRefuses:
 		return &UnsentError{Server: server.ID, Unconnected: true, Refused: true, Err: errReset}
 	}
 	time.Sleep(2 * time.Millisecond)
@@ -77,7 +82,7 @@
 }
 
 func (e *cutExchanger) Exchange(ctx context.Context, request ServerRequest) (*Answer, error) {
-	if mode, _ := e.current(); mode == cutResets || (mode == cutHangs && e.fleet.chance(0.5)) {
+	if mode, _ := e.current(); mode == cutResets || (mode == cutHangs && e.fleet.chance(e.fleet.config.newConnections)) || (mode == cutRefuses && e.fleet.chance(0.5)) {
 		// No connection is left, or none that does not hang.
 		return nil, e.Connect(ctx, request.Server, 1)
 	}
@@ -88,7 +93,7 @@
 	if mode == cutResets {
 		return nil, &NoAnswerError{Server: request.Server.ID, Broken: true, Err: errReset}
 	}
-	answered := time.After(e.fleet.run(request))
+	answered := e.fleet.start(ctx, request)
 	if mode == cutHangs {
 		answered = nil
 	}
@@ -108,6 +113,21 @@
 	}
 }
 
+// passFleetConfig states the size of a passFleet and how its servers and instances behave.
+type passFleetConfig struct {
+	services, serversPerService, slots, instances int
+	// limitSlots makes requests wait for a slot of their server.
+	limitSlots bool
+	// newConnections is the share of requests that need a new connection while links hang.
+	newConnections float64
+	// reviewInterval is how often instances review whether they reach the servers.
+	reviewInterval time.Duration
+	// seed is that of the instances' choices.
+	seed uint64
+	// routeOf returns the route of a request.
+	routeOf func(*Request) *pollencatalog.Route
+}
+
 // passFleet is a number of instances that can pass requests on to each other.
 type passFleet struct {
 	instances  []pollencatalog.Instance
@@ -116,6 +136,9 @@
 	trackers   []*pollenreach.Tracker
 	rankings   []*pollenrank.Ranking
 	table      *pollencatalog.Table
+	config     passFleetConfig
+	// slots holds the slots of each server, by its ID.
+	slots map[string]chan struct{}
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -129,14 +152,39 @@
 	return f.random.Float64() < share
 }
 
-// run records the run of a request and returns how long it takes.
+// run records the run of a request and returns how long it takes: what its body says, else about 10 ms.
 func (f *passFleet) run(request ServerRequest) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.runs[request.Request.ID+"@"+request.Server.Service]++
+	if work, err := time.ParseDuration(string(request.Request.Body)); err == nil {
+		return work
+	}
 	return time.Duration(float64(10*time.Millisecond) * (0.6 + 0.8*f.random.Float64()))
 }
 
+// start runs a request once its server has a slot, and returns a channel that receives a value at the end of the run.
+func (f *passFleet) start(ctx context.Context, request ServerRequest) <-chan time.Time {
+	if !f.config.limitSlots {
+		return time.After(f.run(request))
+	}
+	slot, answered := f.slots[request.Server.ID], make(chan time.Time, 1)
+	go func() {
+		select {
+		case slot <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		defer func() { <-slot }()
+		select {
+		case now := <-time.After(f.run(request)):
+			answered <- now
+		case <-ctx.Done():
+		}
+	}()
+	return answered
+}
+
 // Pass implements Passer.
 func (f *passFleet) Pass(ctx context.Context, instance pollencatalog.Instance, request *Request, _ time.Time) (*Reply, error) {
 	for i, other := range f.instances {
@@ -144,7 +192,7 @@
 			time.Sleep(passDelay)
 			passed := *request
 			passed.Passed = true
-			reply, _, err := f.forwarders[i].Serve(ctx, f.routeOf(request), &passed)
+			reply, _, err := f.forwarders[i].Serve(ctx, f.config.routeOf(request), &passed)
 			time.Sleep(passDelay)
 			return reply, err
 		}
@@ -152,7 +200,7 @@
 	return nil, &UnsentError{Server: instance.Name, Unconnected: true, Err: errReset}
 }
 
-func (f *passFleet) routeOf(request *Request) *pollencatalog.Route {
+func passRouteOf(request *Request) *pollencatalog.Route {
 	if request.Target == "/once" {
 		return unshardedRoute(false)
 	}
@@ -161,37 +209,39 @@
 	return r
 }
 
-func newPassFleet(ctx context.Context) *passFleet {
-	f := &passFleet{random: rand.New(rand.NewPCG(1, 2)), runs: make(map[string]int)}
+func newPassFleet(ctx context.Context, fleet passFleetConfig) *passFleet {
+	f := &passFleet{config: fleet, random: rand.New(rand.NewPCG(1, 2)), runs: make(map[string]int), slots: make(map[string]chan struct{})}
 	config := pollencatalog.TableConfig{Configuration: &pollencatalog.Configuration{Version: 1, Services: map[string]pollencatalog.Service{}}}
-	for i := range passShards {
+	for i := range fleet.services {
 		config.Configuration.Services[service(i)] = pollencatalog.Service{Name: service(i), Connections: 100}
-		for j := range 2 {
+		for j := range fleet.serversPerService {
+			id := fmt.Sprintf("%d-%d", i, j)
 			config.Servers = append(config.Servers, &pollencatalog.Server{
-				ID: fmt.Sprintf("%d-%d", i, j), Service: service(i), Zone: fmt.Sprintf("zone-%d", (i+j)%3), Slots: 4,
+				ID: id, Service: service(i), Zone: fmt.Sprintf("zone-%d", (i+j)%3), Slots: fleet.slots,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(j), byte(i)}), 80),
 			})
+			f.slots[id] = make(chan struct{}, fleet.slots)
 		}
 	}
-	for i := range passInstances {
+	for i := range fleet.instances {
 		config.Instances = append(config.Instances, pollencatalog.Instance{Name: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Processor: 0.4, Ready: true})
 	}
 	f.instances, f.table = config.Instances, pollencatalog.NewTable(config)
-	for i := range passInstances {
+	for i := range fleet.instances {
 		f.exchangers = append(f.exchangers, &cutExchanger{changed: make(chan struct{}), fleet: f})
 		f.trackers = append(f.trackers, pollenreach.NewTracker())
-		f.rankings = append(f.rankings, pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(3, uint64(i)))}))
+		f.rankings = append(f.rankings, pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(fleet.seed+2, uint64(i)))}))
 		var others []pollencatalog.Instance
 		others = append(append(others, f.instances[:i]...), f.instances[i+1:]...)
 		f.forwarders = append(f.forwarders, New(Config{
 			Exchanger: f.exchangers[i], Ranking: f.rankings[i], Reach: f.trackers[i],
-			Passer: f, Others: func() []pollencatalog.Instance { return others }, Peers: pollenreach.NewPeers(rand.New(rand.NewPCG(4, uint64(i)))),
+			Passer: f, Others: func() []pollencatalog.Instance { return others }, Peers: pollenreach.NewPeers(rand.New(rand.NewPCG(fleet.seed+3, uint64(i)))),
 			ColdLimiter: pollenramp.New(pollenramp.Config{}), Quotas: pollenquota.New(pollenquota.Config{Standbys: func() int { return 0 }}), CallerRoundTrip: 10 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond,
 			Budget: pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}),
 			Table:  func() *pollencatalog.Table { return f.table }, Splitter: &Splitter{},
 		}))
 	}
-	for i := range passInstances {
+	for i := range fleet.instances {
 		go f.review(ctx, i)
 	}
 	return f
@@ -200,9 +250,10 @@
 // review does for one instance what its reach loop does.
 func (f *passFleet) review(ctx context.Context, i int) {
 	for ctx.Err() == nil {
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(f.config.reviewInterval)
 		if !f.trackers[i].CutOff() {
 			f.trackers[i].Review(f.table, time.Now())
+			go f.probeSuspects(ctx, i)
 			continue
 		}
 		connected := 0
@@ -215,6 +266,21 @@
 	}
 }
 
+// probeSuspects probes the suspected servers of one instance, and reviews the results at once.
+func (f *passFleet) probeSuspects(ctx context.Context, i int) {
+	ctx, cancel := context.WithTimeout(ctx, pollenreach.ProbeTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	for _, server := range f.trackers[i].Suspects(f.table, time.Now()) {
+		probes.Go(func() {
+			err := f.exchangers[i].Connect(ctx, server, 1)
+			f.trackers[i].RecordProbe(server, err == nil, time.Now())
+		})
+	}
+	probes.Wait()
+	f.trackers[i].Review(f.table, time.Now())
+}
+
 // Load pattern: a share of the instances loses the links to all servers for some seconds, while callers still reach them. From
 // the users' bound on, callers there must be served at least two thirds as often as elsewhere; queries and requests that must
 // not run twice alike.
@@ -237,7 +303,10 @@
 				c := qt.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				f := newPassFleet(ctx)
+				f := newPassFleet(ctx, passFleetConfig{
+					services: passShards, serversPerService: 2, slots: 4, instances: passInstances, newConnections: 0.5,
+					reviewInterval: 100 * time.Millisecond, seed: 1, routeOf: passRouteOf,
+				})
 				time.AfterFunc(cutAt, func() {
 					for _, e := range f.exchangers[:test.cut] {
 						e.setMode(test.mode)
@@ -261,7 +330,7 @@
 						request.Content = content(request.Target, "caller", request.ID)
 					}
 					go func() {
-						_, stats, err := f.forwarders[i].Serve(t.Context(), f.routeOf(request), request)
+						_, stats, err := f.forwarders[i].Serve(t.Context(), f.config.routeOf(request), request)
 						key := request.Target + map[bool]string{true: " cut", false: " other"}[i < test.cut]
 						mu.Lock()
 						defer mu.Unlock()
@@ -386,7 +455,7 @@
 	var config pollencatalog.TableConfig
 	for i := range 10 {
 		config.Servers = append(config.Servers, &pollencatalog.Server{ID: fmt.Sprint(i), Service: service(i), Zone: "z"})
-		tracker.Begin(config.Servers[i], now)
+		tracker.Begin(config.Servers[i], 0, now)
 		tracker.End(config.Servers[i], pollenreach.Unreached, now)
 	}
 	tracker.Review(pollencatalog.NewTable(config), now)
--- a/pollen/pollenforward/subrequest.go
+++ b/pollen/pollenforward/subrequest.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	observation := c.forwarder.config.Ranking.Start(c.route.Name, server, now)
-	c.forwarder.config.Reach.Begin(server, now)
+	c.forwarder.config.Reach.Begin(server, c.usualLatency, now)
 	guard := &SendGuard{}
 	s.attempts = append(s.attempts, attempt{server: server, observation: observation, guard: guard})
 	s.inFlight++
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -217,6 +217,24 @@
 	return sketch.Quantile(quantile)
 }
 
+const (
+	// usualQuantile is the quantile of a route's latencies that counts as usual for long work, and minUsualSamples the number of
+	// answers from which on it is known: the first answers are those of the shortest requests.
+	usualQuantile   = 0.99
+	minUsualSamples = 100
+)
+
+// UsualLatency returns the latency that servers rarely exceed on a route; zero if it is not known yet.
+func (r *Ranking) UsualLatency(route string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sketch, ok := r.routes[route]
+	if !ok || sketch.Samples() < minUsualSamples {
+		return 0
+	}
+	return sketch.Quantile(usualQuantile)
+}
+
 // minSamples is the number of answers before a route's quantiles are used.
 const minSamples = 20
 
--- a/pollen/pollenreach/reach_test.go
+++ b/pollen/pollenreach/reach_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,9 @@
 	idle
 )
 
+// usualWork is how long servers take for the requests of drive.
+const usualWork = 20 * time.Millisecond
+
 // drive sends requests to all servers for a time, each of which goes the way that the function returns, and returns how long it took
 // until the instance was cut off; zero if it was not.
 func drive(t *Tracker, table *pollencatalog.Table, servers []*pollencatalog.Server, from time.Time, duration time.Duration, wayOf func(s *pollencatalog.Server, at time.Duration) way) time.Duration {
@@ -69,7 +73,7 @@
 			if int(at/step)%20 != i%20 {
 				continue
 			}
-			p := pending{server: s, endsAt: now.Add(20 * time.Millisecond), outcome: Answered}
+			p := pending{server: s, endsAt: now.Add(usualWork), outcome: Answered}
 			switch wayOf(s, at) {
 			case hangs:
 				p.endsAt, p.outcome = now.Add(500*time.Millisecond), Unreached
@@ -80,7 +84,7 @@
 			case idle:
 				continue
 			}
-			t.Begin(s, now)
+			t.Begin(s, usualWork, now)
 			inFlight = append(inFlight, p)
 		}
 		if int(at/step)%10 == 0 {
@@ -158,6 +162,112 @@
 	}
 }
 
+// Load pattern: servers work on requests for seconds, and no answer arrives; links hang or are refused meanwhile. The silence must lead to
+// few probes, and only to a cut if they fail, or if it lasts much longer than the route's requests usually take.
+func TestSilenceIsJudgedByProbes(t *testing.T) {
+	const silence, interval = 10 * time.Second, 250 * time.Millisecond
+	tests := []struct {
+		name  string
+		usual time.Duration
+		// failAt is when probes begin to fail.
+		failAt time.Duration
+		// cutOffAt is when the instance must be cut off, or later by a second at most; zero if it must not be.
+		cutOffAt time.Duration
+	}{
+		{"busy, latencies not known", 0, silence, 0},
+		{"busy, known as long", 3 * time.Second, silence, 0},
+		{"cut at the begin", 0, 0, 150 * time.Millisecond},
+		{"cut later", 3 * time.Second, 5 * time.Second, 5 * time.Second},
+		{"something else takes connections for servers", usualWork, silence, silentAfter},
+		{"the same, after long work", 500 * time.Millisecond, silence, 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			table, servers := testTable()
+			tracker, probes := NewTracker(), 0
+			for _, s := range servers {
+				tracker.Begin(s, test.usual, start)
+			}
+			var cutOffAt time.Duration
+			for at := time.Duration(0); at < silence && !tracker.CutOff(); at += interval {
+				suspects := tracker.Suspects(table, start.Add(at))
+				services, zones := make(map[string]bool), make(map[string]bool)
+				for _, s := range suspects {
+					probes++
+					services[s.Service], zones[s.Zone] = true, true
+					tracker.RecordProbe(s, at < test.failAt, start.Add(at))
+				}
+				c.Assert(len(suspects) == 0 || len(suspects) == probedSuspects && len(services) == probedSuspects && len(zones) == testZones, qt.IsTrue)
+				tracker.Review(table, start.Add(at))
+				cutOffAt = at
+			}
+			c.Assert(tracker.CutOff(), qt.Equals, test.cutOffAt > 0)
+			if test.cutOffAt > 0 {
+				c.Assert(cutOffAt >= test.cutOffAt && cutOffAt <= test.cutOffAt+time.Second, qt.IsTrue, qt.Commentf("%v", cutOffAt))
+			}
+			c.Assert(probes <= probedSuspects*int(silence/answerAge), qt.IsTrue, qt.Commentf("%d probes", probes))
+		})
+	}
+}
+
+// Guards against probes of an instance some of whose servers answer, and against a suspicion that ends with the requests that were
+// given up.
+func TestSuspicionNeedsSilenceOfMostServers(t *testing.T) {
+	c := qt.New(t)
+	table, servers := testTable()
+	tracker, now := NewTracker(), start.Add(2*suspectAfter)
+	for _, s := range servers {
+		tracker.Begin(s, 0, start)
+	}
+	for _, s := range servers[:len(servers)/4] {
+		tracker.End(s, Answered, now)
+	}
+	c.Assert(tracker.Suspects(table, now), qt.HasLen, 0)
+	for _, s := range servers[len(servers)/4:] {
+		tracker.End(s, Unknown, now)
+	}
+	now = now.Add(suspicionAnswerAge)
+	c.Assert(tracker.Suspects(table, now), qt.HasLen, probedSuspects)
+	c.Assert(tracker.Review(table, now).Unreached, qt.Equals, 0)
+}
+
+// Guards against log lines that do not say why an instance is cut off, or that grow with the number of servers.
+func TestEvidenceNamesServersAndAge(t *testing.T) {
+	c := qt.New(t)
+	table, servers := testTable()
+	tracker := NewTracker()
+	for _, s := range servers {
+		tracker.RecordProbe(s, false, start)
+	}
+	tracker.Review(table, start)
+	c.Assert(tracker.CutOff(), qt.IsTrue)
+	text := tracker.Evidence().Format(start.Add(120 * time.Millisecond))
+	c.Assert(text, qt.Matches, `\d+-\d: no connection for a probe, 120 ms ago; .*; and 19 more`)
+	c.Assert(strings.Count(text, "no connection"), qt.Equals, maxObservations)
+}
+
+// Guards against direct sending on the word of servers that answered before the instance was cut off.
+func TestServersAnswerOnlyAfterTheCut(t *testing.T) {
+	c := qt.New(t)
+	table, servers := testTable()
+	tracker := NewTracker()
+	tracker.Begin(servers[0], 0, start)
+	tracker.End(servers[0], Answered, start)
+	for _, s := range servers {
+		tracker.RecordProbe(s, false, start.Add(time.Millisecond))
+	}
+	now := start.Add(time.Millisecond)
+	tracker.Review(table, now)
+	c.Assert(tracker.CutOff(), qt.IsTrue)
+	c.Assert(tracker.ServersAnswer(now), qt.IsFalse)
+	tracker.RecordProbes(0, 3, now.Add(time.Second))
+	c.Assert(tracker.ServersAnswer(now.Add(time.Second)), qt.IsFalse)
+	tracker.RecordProbes(1, 3, now.Add(2*time.Second))
+	c.Assert(tracker.ServersAnswer(now.Add(2*time.Second)), qt.IsTrue)
+	c.Assert(tracker.ServersAnswer(now.Add(2*time.Second+contactAge)), qt.IsFalse)
+}
+
 // Guards against an instance that stays cut off for long, or that changes between both states while its links come and go.
 func TestDirectSendingResumesAfterProbes(t *testing.T) {
 	c := qt.New(t)
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -68,7 +68,9 @@
 	peers     *pollenreach.Peers
 	peerPool  *pollenpool.Pool
 	exchanger *pollenplatform.Exchanger
-	forwarder *pollenforward.Forwarder
+	// probeDialer makes the connections of probes of suspected servers.
+	probeDialer *net.Dialer
+	forwarder   *pollenforward.Forwarder
 	// probing is set during a round of probes.
 	probing   atomic.Bool
 	sharer    *pollenrelay.Sharer
@@ -179,6 +181,7 @@
 		configured:   make(chan struct{}),
 		tableChanged: make(chan struct{}, 1),
 		reach:        pollenreach.NewTracker(),
+		probeDialer:  pollenpool.NewDialer(pollenpool.Config{DialTimeout: pollenreach.ProbeTimeout, SourceAddress: settings.SourceAddress}),
 		peers:        pollenreach.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		drain:        pollendrain.New(),
