Send directly what no other instance takes while servers answer

Seen: "this instance reaches no servers, and none of 0 others took the request" from all instances at once, while servers took connections and answered.

Cause: an instance that is cut off only passes requests on, and refuses those that others pass on to it. If all are, nothing is sent.

Change: a request that every other instance is unavailable for is sent directly if a server has answered or taken a probe's connection in the last second, since the cut. A request that was passed on is, too, if all instances in the table say that they are cut off. Without such a sign it is refused as before.

--- a/pollen/pollenforward/call.go
+++ b/pollen/pollenforward/call.go
@@ -67,6 +67,10 @@
 	mayHaveRun bool
 	// stopped is set once the call must end because the instance stops.
 	stopped bool
+	// untaken is set if the call was to be passed on, and every other instance was unavailable.
+	untaken bool
+	// direct is set if the call is sent although the instance is cut off, because no other one takes it.
+	direct bool
 	// lastErrorAnswer is the newest answer that did not complete its subrequest.
 	lastErrorAnswer *Answer
 }
@@ -99,6 +103,9 @@
 	}
 	c.open.SetStage(pollendrain.Sent)
 	lost := c.forwarder.config.Reach.Lost()
+	if c.direct {
+		lost = nil
+	}
 	stopped := c.forwarder.config.Drain.Over().Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/pollen/pollenforward/pass.go
+++ b/pollen/pollenforward/pass.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,7 @@
 		return nil, err
 	}
 	if f.config.Passer == nil || c.request.Passed {
-		if c.request.Passed && f.config.Reach.CutOff() {
+		if c.request.Passed && f.config.Reach.CutOff() && !c.isLastInstance(time.Now()) {
 			c.recordReachEvidence(time.Now())
 			return nil, &RefusedError{Cause: "this instance reaches no servers", Unreached: true, RetryAfter: RetryAfterOutage(time.Until(c.schedule.End))}
 		}
@@ -69,7 +70,12 @@
 			return nil, err
 		}
 		c.recordReachEvidence(time.Now())
-		return c.pass(ctx, nil, false)
+		reply, err := c.pass(ctx, nil, false)
+		if c.untaken && f.config.Reach.ServersAnswer(time.Now()) {
+			c.direct = true
+			return c.run(ctx)
+		}
+		return reply, err
 	}
 	reply, err := c.run(ctx)
 	var lost *lostServersError
@@ -85,6 +91,15 @@
 	return reply, err
 }
 
+// isLastInstance reports whether the call, which another instance has passed on, must be served here although this instance is cut
+// off: the servers answer it after all, and every other instance says that it is cut off as well.
+//
+// Load pattern: all instances take themselves for cut off, and pass requests on to each other.
+func (c *call) isLastInstance(now time.Time) bool {
+	f := c.forwarder
+	return f.config.Reach.ServersAnswer(now) && !slices.ContainsFunc(f.config.Table().Instances(), func(i pollencatalog.Instance) bool { return !i.CutOff })
+}
+
 // recordReachEvidence records for the log why this instance is cut off.
 func (c *call) recordReachEvidence(now time.Time) {
 	c.stats.Evidence = c.forwarder.config.Reach.Evidence().Format(now)
@@ -99,6 +114,7 @@
 	defer cancel()
 	var tried []string
 	refusal, passes := own, 0
+	c.untaken = false
 	for len(tried) < maxAsked && passes < maxPasses && time.Now().Before(c.schedule.End) {
 		instance, ok := f.config.Peers.Choose(f.config.Others(), tried, time.Now())
 		if !ok {
@@ -146,6 +162,7 @@
 	if own != nil {
 		f.passing.pausedUntil.Store(time.Now().Add(passPause).UnixNano())
 	}
+	c.untaken = passes == 0 && !mayHaveRun
 	switch {
 	case mayHaveRun:
 		return nil, &FailedError{Cause: fmt.Sprintf("this instance lost its servers, and %d others did not answer", len(tried))}
--- a/pollen/pollenforward/pass_test.go
+++ b/pollen/pollenforward/pass_test.go
@@ -461,3 +461,53 @@
 	tracker.Review(pollencatalog.NewTable(config), now)
 	return tracker
 }
+
+// Load pattern: all instances take themselves for cut off, and none takes the requests of another. What servers answer must be sent to
+// them, and only that.
+func TestRequestIsSentDirectlyIfNoInstanceTakesIt(t *testing.T) {
+	cutOffToo, full := &RefusedError{Cause: "cut off", Unreached: true}, &RefusedError{Cause: "full", RetryAfter: time.Second}
+	tests := []struct {
+		name string
+		// connected is set if a probe gets a connection after the cut.
+		connected, passed bool
+		// allCutOff is set if all instances in the table say that they are cut off.
+		allCutOff bool
+		results   []error
+		served    bool
+	}{
+		{name: "no other instance, servers answer", connected: true, served: true},
+		{name: "no other instance, servers do not answer"},
+		{name: "others are cut off, servers answer", connected: true, results: []error{cutOffToo, cutOffToo}, served: true},
+		{name: "others are cut off, servers do not answer", results: []error{cutOffToo, cutOffToo}},
+		{name: "another one has refused it", connected: true, results: []error{full, cutOffToo}},
+		{name: "passed on, and all are cut off", connected: true, passed: true, allCutOff: true, served: true},
+		{name: "passed on, and others are not cut off", connected: true, passed: true},
+		{name: "passed on, all are cut off, and servers do not answer", passed: true, allCutOff: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runInVirtualTime(t, func(t *testing.T) {
+				c := qt.New(t)
+				h := newHarness(1, 100)
+				h.table = pollencatalog.NewTable(pollencatalog.TableConfig{
+					Configuration: h.table.Configuration(), Servers: h.table.ServersOf(service(0)),
+					Instances: []pollencatalog.Instance{{Name: "entry-1", Ready: true, CutOff: true}, {Name: "entry-2", Ready: true, CutOff: test.allCutOff}},
+				})
+				config := h.forwarder.config
+				config.Passer, config.Peers, config.Reach = &scriptedPasser{results: test.results}, pollenreach.NewPeers(rand.New(rand.NewPCG(1, 2))), lostTracker()
+				config.Others = func() []pollencatalog.Instance {
+					return []pollencatalog.Instance{{Name: "entry-2"}, {Name: "entry-3"}}[:len(test.results)]
+				}
+				time.Sleep(time.Millisecond)
+				config.Reach.RecordProbes(map[bool]int{true: 1}[test.connected], 3, time.Now())
+				_, stats, err := New(config).Serve(t.Context(), unshardedRoute(true), &Request{ID: "r", Received: time.Now(), CallerTimeout: time.Second, Passed: test.passed})
+				c.Assert(err == nil, qt.Equals, test.served, qt.Commentf("%v", err))
+				c.Assert(len(h.exchanger.sent) == 1, qt.Equals, test.served)
+				if !test.served {
+					c.Assert(stats.Evidence, qt.Matches, `\d: connection broken or not made, 1 ms ago; .*; and 5 more`)
+					c.Assert(stats.LogFields(), qt.Contains, any(stats.Evidence))
+				}
+			})
+		})
+	}
+}
