Do not take long work for unresponsive servers

Seen: a server that works on four requests for half a second gets no more before the route's first answers, or if the route's latencies vary widely. If that holds for all servers, the route is refused with "servers available for 0 of 1 services".

Cause: a request counted as unanswered after eight times the expected latency, which is 20 ms before the first answer and says nothing of the longer ones of a route.

Change: that takes twice the 0.99 quantile of the route as well, and none is judged before 20 answers of the route. The log line of a request that is refused for want of available servers says which are ejected or silent, and for how long.

Measured: TestLongWorkIsToldFromUnresponsiveServers; without the change its cases of unknown and of widely varying latencies fail (unresponsive after 0.5 s).

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -30,6 +30,7 @@
 		}
 	}
 	if available < c.requiredAnswers() {
+		c.recordUnavailability(now)
 		return &RefusedError{
 			Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.subrequests), c.requiredAnswers()),
 			Unreached:  true,
@@ -78,6 +79,15 @@
 	}
 }
 
+// recordUnavailability records for the log why the call's servers are not available.
+func (c *call) recordUnavailability(now time.Time) {
+	var servers []*pollencatalog.Server
+	for i := range c.subrequests {
+		servers = append(servers, c.admittedServers(c.forwarder.config.Table(), c.subrequests[i].service, pollenrollout.Any, now)...)
+	}
+	c.stats.Evidence = c.forwarder.config.Ranking.Unavailability(servers, now)
+}
+
 // tryStart sends the first request of each subrequest if enough of them have capacity; the others stay pending. It
 // reports whether the call has started.
 //
--- a/pollen/pollenrank/ejection.go
+++ b/pollen/pollenrank/ejection.go
@@ -1,6 +1,50 @@
 package pollenrank
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"pollenline.example/pollen/pollencatalog"
+)
+
+// maxDescribed bounds the servers that Unavailability names.
+const maxDescribed = 5
+
+// Unavailability says for a log line which of the servers are ejected or unresponsive, and why. It adds no estimates.
+func (r *Ranking) Unavailability(candidates []*pollencatalog.Server, now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var reasons []string
+	unavailable := 0
+	for _, candidate := range candidates {
+		s, ok := r.servers[candidate.Incarnation()]
+		if !ok || !s.isUnavailable(now) {
+			continue
+		}
+		if unavailable++; unavailable <= maxDescribed {
+			reasons = append(reasons, candidate.ID+": "+s.unavailability(now))
+		}
+	}
+	if unavailable > maxDescribed {
+		reasons = append(reasons, fmt.Sprintf("and %d more", unavailable-maxDescribed))
+	}
+	return strings.Join(reasons, "; ")
+}
+
+// unavailability says why the server is unavailable.
+func (s *server) unavailability(now time.Time) string {
+	if s.isFailing(now) {
+		return fmt.Sprintf("%d failures, the last result %d ms ago", s.consecutiveFailures, now.Sub(s.updated).Milliseconds())
+	}
+	oldest := now
+	for o := range s.inFlight {
+		if o.started.Before(oldest) {
+			oldest = o.started
+		}
+	}
+	return fmt.Sprintf("%d requests unanswered, the oldest sent %d ms ago", s.countUnresponsive(now), now.Sub(oldest).Milliseconds())
+}
 
 // isUnavailable reports whether the server gets no requests because it is unresponsive, ejected or being probed.
 //
@@ -28,9 +72,16 @@
 }
 
 // isUnresponsive reports whether the server is unresponsive to the request, as defined at unresponsiveFactor.
+//
+// Load pattern: servers work on long requests, and the latencies of a route are not known yet or vary widely. Their silence is no
+// reason to send requests elsewhere.
 func (o *Observation) isUnresponsive(now time.Time) bool {
 	age := now.Sub(o.started)
-	return age >= max(unresponsiveAfter, unresponsiveFactor*o.expected) && o.server.lastAnswer.Before(o.started)
+	if age < max(unresponsiveAfter, unresponsiveFactor*o.expected) || !o.server.lastAnswer.Before(o.started) {
+		return false
+	}
+	sketch, ok := o.ranking.routes[o.route]
+	return ok && sketch.Samples() >= minSamples && age >= unresponsiveTailFactor*sketch.Quantile(usualQuantile)
 }
 
 // recordMisdirection ejects the server; a probe every maxEjection prolongs the ejection until the server leaves the
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -87,10 +87,11 @@
 	minEjection = 500 * time.Millisecond
 	maxEjection = 4 * time.Second
 	// A server is unresponsive to a request that has no answer after unresponsiveFactor times its expected latency, and
-	// at least unresponsiveAfter, if the server has answered none since that request was sent. Pauses of servers are
-	// shorter.
-	unresponsiveFactor = 8
-	unresponsiveAfter  = 500 * time.Millisecond
+	// at least unresponsiveAfter and unresponsiveTailFactor times the usualQuantile of its route, if the server has answered none
+	// since that request was sent. Pauses of servers are shorter. No server is before the route has minSamples answers.
+	unresponsiveFactor     = 8
+	unresponsiveTailFactor = 2
+	unresponsiveAfter      = 500 * time.Millisecond
 	// defaultLatency is the assumed median latency of a route before its first answer.
 	defaultLatency = 20 * time.Millisecond
 )
--- a/pollen/pollenrank/rank_test.go
+++ b/pollen/pollenrank/rank_test.go
@@ -178,3 +178,45 @@
 	restarted.StartedAt = start.Add(time.Second)
 	c.Assert(r.AnyAvailable([]*pollencatalog.Server{&restarted}, start.Add(time.Second)), qt.IsTrue)
 }
+
+// Guards against servers that get no requests because they work on long ones, before or after the latencies of the route are known, and
+// against requests to servers that are silent for much longer than their route takes.
+func TestLongWorkIsToldFromUnresponsiveServers(t *testing.T) {
+	tests := []struct {
+		name string
+		// latencies are those of the route's answers so far, each of them 25 times.
+		latencies []time.Duration
+		// unresponsiveAfter is the age of requests from which on the server is unresponsive; zero if it never is.
+		unresponsiveAfter time.Duration
+	}{
+		{"latencies not known", nil, 0},
+		{"short work", []time.Duration{10 * time.Millisecond}, 500 * time.Millisecond},
+		{"long work", []time.Duration{1300 * time.Millisecond}, 10400 * time.Millisecond},
+		{"some of the work is long", []time.Duration{10 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond, 4 * time.Second}, 8 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, servers, now := newRanking(1), newServers(2), start
+			for _, latency := range test.latencies {
+				for range 25 {
+					r.Start("route", servers[1], now.Add(-latency)).Finish(Answered, now)
+				}
+			}
+			for range ejectionFailures {
+				r.Start("route", servers[0], now)
+			}
+			var after time.Duration
+			for at := time.Duration(0); at < 20*time.Second && after == 0; at += 100 * time.Millisecond {
+				if r.Ejected(servers[0], now.Add(at)) {
+					after = at
+				}
+			}
+			// The quantiles of a sketch are within 15 % of the exact ones.
+			c.Assert(float64(after) >= 0.85*float64(test.unresponsiveAfter) && float64(after) <= 1.15*float64(test.unresponsiveAfter), qt.IsTrue, qt.Commentf("after %v", after))
+			if after > 0 {
+				c.Assert(r.Unavailability(servers, now.Add(after)), qt.Matches, `s0: 4 requests unanswered, the oldest sent \d+ ms ago`)
+			}
+		})
+	}
+}
