Count requests that callers gave up as part of a server's silence

Seen: where something takes connections for servers that are not reached, as the soak's proxies do, callers with timeouts below a second never let a server be silent for long enough to count.

Cause: the silence began anew with the first request after one that was given up.

Change: it goes on over requests that were given up, as long as none is answered.

Measured: TestSilenceIsJudgedByProbes, "the same, callers give up", fails without the change.

--- a/pollen/pollenreach/reach_test.go
+++ b/pollen/pollenreach/reach_test.go
@@ -173,13 +173,17 @@
 		failAt time.Duration
 		// cutOffAt is when the instance must be cut off, or later by a second at most; zero if it must not be.
 		cutOffAt time.Duration
+		// abandoned is set if requests are given up after an interval, and others follow.
+		abandoned bool
 	}{
-		{"busy, latencies not known", 0, silence, 0},
-		{"busy, known as long", 3 * time.Second, silence, 0},
-		{"cut at the begin", 0, 0, 150 * time.Millisecond},
-		{"cut later", 3 * time.Second, 5 * time.Second, 5 * time.Second},
-		{"something else takes connections for servers", usualWork, silence, silentAfter},
-		{"the same, after long work", 500 * time.Millisecond, silence, 2 * time.Second},
+		{"busy, latencies not known", 0, silence, 0, false},
+		{"busy, known as long", 3 * time.Second, silence, 0, false},
+		{"busy, callers give up", 3 * time.Second, silence, 0, true},
+		{"cut at the begin", 0, 0, 150 * time.Millisecond, false},
+		{"cut later", 3 * time.Second, 5 * time.Second, 5 * time.Second, false},
+		{"something else takes connections for servers", usualWork, silence, silentAfter, false},
+		{"the same, callers give up", usualWork, silence, silentAfter, true},
+		{"the same, after long work", 500 * time.Millisecond, silence, 2 * time.Second, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -191,6 +195,12 @@
 			}
 			var cutOffAt time.Duration
 			for at := time.Duration(0); at < silence && !tracker.CutOff(); at += interval {
+				for _, s := range servers {
+					if test.abandoned && at > 0 {
+						tracker.End(s, Unknown, start.Add(at))
+						tracker.Begin(s, test.usual, start.Add(at))
+					}
+				}
 				suspects := tracker.Suspects(table, start.Add(at))
 				services, zones := make(map[string]bool), make(map[string]bool)
 				for _, s := range suspects {
--- a/pollen/pollenreach/tracker.go
+++ b/pollen/pollenreach/tracker.go
@@ -86,12 +86,13 @@
 	answeredAt, failedAt, connectedAt time.Time
 	// failure is what happened at failedAt.
 	failure failure
-	// inFlight counts requests without a result; unansweredSince is when the first of them was sent after the last answer.
+	// inFlight counts requests without a result; unansweredSince is when the first of them was sent after the last answer, or of
+	// those that were given up before them.
 	inFlight        int
 	unansweredSince time.Time
-	// usual is the longest of the times that the requests in flight usually take, zero if it is not known of one of them.
+	// usual is the longest of the times that the requests since unansweredSince usually take, zero if it is not known of one of them.
 	usual time.Duration
-	// abandonedAt is when a request was last given up unanswered by a server that was suspected.
+	// abandonedAt is when a request to a suspected server was last given up.
 	abandonedAt time.Time
 }
 
@@ -120,7 +121,7 @@
 	defer t.mu.Unlock()
 	l := t.link(server)
 	switch {
-	case l.inFlight == 0:
+	case l.inFlight == 0 && !l.isAbandoned(now):
 		l.unansweredSince, l.usual = now, usual
 	case usual == 0 || l.usual == 0:
 		l.usual = 0
@@ -382,7 +383,14 @@
 
 // isSuspected reports whether the server leaves requests unanswered, be it that it works on them or that it is not reached.
 func (l *link) isSuspected(now time.Time) bool {
-	return l.inFlight > 0 && now.Sub(l.unansweredSince) >= suspectAfter || l.abandonedAt.After(l.answeredAt) && now.Sub(l.abandonedAt) < evidenceAge
+	return l.inFlight > 0 && now.Sub(l.unansweredSince) >= suspectAfter || l.isAbandoned(now)
+}
+
+// isAbandoned reports whether requests to the server were given up lately, and none was answered since.
+//
+// Load pattern: callers have short timeouts. What they give up says as much of the server as what is still in flight.
+func (l *link) isAbandoned(now time.Time) bool {
+	return l.abandonedAt.After(l.answeredAt) && now.Sub(l.abandonedAt) < evidenceAge
 }
 
 // isSilent reports whether the server leaves requests in flight unanswered for much longer than they usually take.
