--- a/pollen/pollenforward/longwork_test.go
+++ b/pollen/pollenforward/longwork_test.go
@@ -237,12 +237,13 @@
 						time.AfterFunc(cutAt, func() { f.exchangers[0].setMode(test.mode) })
 						time.AfterFunc(cutAt+cutFor, func() { f.exchangers[0].setMode(cutNone) })
 						lost := f.trackers[0].Lost()
-						noticedAfter := time.Duration(-1)
+						noticed := make(chan time.Duration, 1)
 						go func() {
 							select {
 							case <-lost:
-								noticedAfter = time.Since(start) - cutAt
+								noticed <- time.Since(start) - cutAt
 							case <-ctx.Done():
+								noticed <- -1
 							}
 						}()
 						sent, served := 0, 0
@@ -258,6 +259,8 @@
 								}
 							},
 						}.send(t, f)
+						cancel()
+						noticedAfter := <-noticed
 						c.Check(noticedAfter >= 0 && noticedAfter <= bound, qt.IsTrue, qt.Commentf("after %v", noticedAfter))
 						c.Check(float64(served) >= 0.95*float64(sent), qt.IsTrue, qt.Commentf("%d of %d served at the instance that is cut off, %v", served, sent, o.causes))
 						c.Check(f.trackers[0].CutOff(), qt.IsFalse)
