--- a/pollen/pollenreach/tracker.go
+++ b/pollen/pollenreach/tracker.go
@@ -235,7 +235,7 @@
 func (t *Tracker) Suspects(table *pollencatalog.Table, now time.Time) []*pollencatalog.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.CutOff() {
+	if t.CutOff() || !t.mayBeCutOff(now) {
 		return nil
 	}
 	var suspects []*pollencatalog.Server
@@ -243,7 +243,8 @@
 	table.ForEachServer(func(s *pollencatalog.Server) {
 		l, known := t.servers[s.Incarnation()]
 		if !known {
-			l = &link{}
+			suspicion.add(table, s, false, false)
+			return
 		}
 		unreached := l.isUnreached(now)
 		suspected := !unreached && l.isSuspected(now) && now.Sub(l.connectedAt) >= answerAge
@@ -258,6 +259,20 @@
 	return spread(suspects, probedSuspects)
 }
 
+// mayBeCutOff reports whether enough servers are suspected or not reached for a cut. It spares a walk through the table while servers
+// answer. The caller must hold the mutex.
+func (t *Tracker) mayBeCutOff(now time.Time) bool {
+	count := 0
+	for _, l := range t.servers {
+		if l.isSuspected(now) || l.isUnreached(now) {
+			if count++; count >= minLostServers {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // spread returns a number of random servers, in as many services and zones as possible.
 func spread(servers []*pollencatalog.Server, number int) []*pollencatalog.Server {
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
@@ -330,11 +345,13 @@
 	table.ForEachServer(func(s *pollencatalog.Server) {
 		l, ok := t.servers[s.Incarnation()]
 		if !ok {
-			l = &link{}
+			counts.add(table, s, false, false)
+			return
 		}
-		known[s.Incarnation()] = ok
-		counts.add(table, s, l.isUnreached(now), l.isReached(now, answerAge))
-		if l.isUnreached(now) {
+		known[s.Incarnation()] = true
+		unreached := l.isUnreached(now)
+		counts.add(table, s, unreached, l.isReached(now, answerAge))
+		if unreached {
 			evidence.add(l.observation(s, now))
 		}
 	})
