Complete a rollout whose target is in force instead of letting it expire

Seen by callers, by reading: the store comes back from a copy of before the end of a rollout, whose former servers ended at its completion. A driver that starts then has the rollout from the copy, finds no server that is a target apart from the version in force, and rolls it back at the deadline, to servers that are gone. Change: a rollout that is under way and whose target is in force is completed. Measured: TestCompletedRolloutIsNotExpired fails before (RolledBack) and passes.

--- a/pollen/pollenrollout/decide.go
+++ b/pollen/pollenrollout/decide.go
@@ -184,6 +184,9 @@
 func nextEvent(facts Facts, state pollencatalog.RolloutState, now time.Time) (pollenchart.Event, string) {
 	late := !now.Before(state.Deadline.Add(-completionLead))
 	switch {
+	case slices.Contains(facts.InForce, state.Target):
+		// The rollout was completed before the store came back from a copy, and the former servers may be gone.
+		return eventNothingToMove, "the version has all traffic already"
 	case facts.Finding != "":
 		return eventBad, facts.Finding
 	case now.After(state.Deadline.Add(orderAge)):
--- a/pollen/pollenrollout/faults_test.go
+++ b/pollen/pollenrollout/faults_test.go
@@ -253,3 +253,15 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, next.State, qt.Equals, stateRolledBack)
 }
+
+// TestCompletedRolloutIsNotExpired guards against a rollout that is rolled back by a driver that has it from an older copy of the store,
+// while a later record says that its target is in force.
+func TestCompletedRolloutIsNotExpired(t *testing.T) {
+	order := &pollencatalog.RolloutOrder{Service: "x", Target: "v2", Duration: time.Minute, Revision: 3}
+	for _, name := range []string{stateCanary, stateWidening} {
+		state := &pollencatalog.RolloutState{Service: "x", OrderRevision: 3, Target: "v2", Former: []string{"v1"}, State: name, Step: 4, Deadline: time.Unix(1000, 0)}
+		next, ok := Decide(Policy{Share: 0.1, Slack: 50}, Facts{Order: order, State: state, ServiceKnown: true, InForce: []string{"v2"}}, time.Unix(2000, 0))
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, next.State, qt.Equals, stateCompleted)
+	}
+}
