Keep the version in force in the store instead of guessing it

When all old servers crash for 4.5 s, or the instances restart after a release, all requests go to the bad version, also after the old servers are back, and the order that follows is completed at once, without a canary. Cause: learnInForce took the version in force from the list of servers whenever none of the known version was listed, and at the start of an instance. Nothing stored named the version before a service's first rollout. Change: the version in force is what the state of the last rollout says or, before the first one, a record under pollenline/versions/. One instance writes it, conditionally and only if the store lacks it; the others follow their view. The list is used only while neither the instance nor the store knows a version. While no server of the known version is listed, requests are refused.

--- a/pollen/pollencatalog/catalog.go
+++ b/pollen/pollencatalog/catalog.go
@@ -129,6 +129,19 @@
 	return first, ok
 }
 
+// RankPosition returns how many instances come before one by rendezvous hashing for a key, or false if it is not among them.
+func RankPosition(instances []Instance, key, name string) (position int, ok bool) {
+	own := rank(name, key)
+	for _, i := range instances {
+		if i.Name == name {
+			ok = true
+		} else if rank(i.Name, key) > own {
+			position++
+		}
+	}
+	return position, ok
+}
+
 // Instance describes an entry instance of this system. Its fields are stored as JSON under their Go names.
 type Instance struct {
 	Name          string
--- a/pollen/pollencatalog/rollout.go
+++ b/pollen/pollencatalog/rollout.go
@@ -54,17 +54,34 @@
 	Requests, Failures, Slow uint64
 }
 
-// Rollout holds what the store says of the rollout of one service.
+// VersionRecord says which versions of a service have its traffic where no state of a rollout says it. It is stored as JSON under the names
+// of its fields.
+type VersionRecord struct {
+	Service  string
+	Versions []string
+	// OrderRevision is the revision of the last order that the versions account for; zero if none does, as they were learned from the list
+	// of servers.
+	OrderRevision uint64
+	// Guessed is set if servers of several versions were listed when the versions were learned.
+	Guessed bool
+	// At is when the record was written.
+	At time.Time
+	// Revision is the store revision of the record's key; it is not part of the stored value.
+	Revision uint64 `json:"-"`
+}
+
+// Rollout holds what the store says of the rollout and the versions of one service.
 type Rollout struct {
-	// Order is nil if there is none, State if none was stored.
-	Order *RolloutOrder
-	State *RolloutState
+	// Order is nil if there is none, State and Record if none was stored.
+	Order  *RolloutOrder
+	State  *RolloutState
+	Record *VersionRecord
 }
 
 // Rollout returns what the store says of the rollout of a service.
 func (t *Table) Rollout(service string) Rollout { return t.rollouts[service] }
 
-// RolloutServices returns the services for which there is an order or a state of a rollout.
+// RolloutServices returns the services for which there is an order, a state of a rollout or a record of the version in force.
 func (t *Table) RolloutServices() []string { return t.rolloutServices }
 
 // ServersOf returns all servers of a service, ordered by ID; the caller must not change the slice.
@@ -76,8 +93,8 @@
 }
 
 // indexRollouts returns the rollouts by service, and the services in order.
-func indexRollouts(orders []*RolloutOrder, states []*RolloutState) (map[string]Rollout, []string) {
-	rollouts := make(map[string]Rollout, max(len(orders), len(states)))
+func indexRollouts(orders []*RolloutOrder, states []*RolloutState, records []*VersionRecord) (map[string]Rollout, []string) {
+	rollouts := make(map[string]Rollout, max(len(orders), len(states), len(records)))
 	for _, o := range orders {
 		r := rollouts[o.Service]
 		r.Order = o
@@ -88,5 +105,10 @@
 		r.State = s
 		rollouts[s.Service] = r
 	}
+	for _, record := range records {
+		r := rollouts[record.Service]
+		r.Record = record
+		rollouts[record.Service] = r
+	}
 	return rollouts, slices.Sorted(maps.Keys(rollouts))
 }
--- a/pollen/pollencatalog/table.go
+++ b/pollen/pollencatalog/table.go
@@ -21,6 +21,7 @@
 	departedInstances int
 	rollouts          map[string]Rollout
 	rolloutServices   []string
+	storeEra          uint64
 }
 
 // TableConfig holds the content of a Table. The table refers to it, so it must not change afterwards.
@@ -35,6 +36,9 @@
 	DepartedInstances int
 	RolloutOrders     []*RolloutOrder
 	RolloutStates     []*RolloutState
+	VersionRecords    []*VersionRecord
+	// StoreEra is the era of the store that the content is of; zero if it is not known.
+	StoreEra uint64
 }
 
 // NewTable returns a table with the given content.
@@ -45,13 +49,14 @@
 		evacuatedZones:    config.EvacuatedZones,
 		instances:         slices.SortedFunc(slices.Values(config.Instances), compareInstances),
 		departedInstances: config.DepartedInstances,
+		storeEra:          config.StoreEra,
 	}
 	t.senders = slices.DeleteFunc(slices.Clone(t.instances), func(i Instance) bool { return i.CutOff })
 	if len(t.senders) == 0 {
 		t.senders = t.instances
 	}
-	if len(config.RolloutOrders)+len(config.RolloutStates) > 0 {
-		t.rollouts, t.rolloutServices = indexRollouts(config.RolloutOrders, config.RolloutStates)
+	if len(config.RolloutOrders)+len(config.RolloutStates)+len(config.VersionRecords) > 0 {
+		t.rollouts, t.rolloutServices = indexRollouts(config.RolloutOrders, config.RolloutStates, config.VersionRecords)
 	}
 	for _, s := range config.Servers {
 		t.servers[s.Service] = append(t.servers[s.Service], s)
@@ -68,6 +73,9 @@
 // Configuration returns the configuration in force, or nil if none has been read yet.
 func (t *Table) Configuration() *Configuration { return t.configuration }
 
+// StoreEra returns the era of the store that the content is of; zero if it is not known.
+func (t *Table) StoreEra() uint64 { return t.storeEra }
+
 // Instances returns the registered instances, ordered by name.
 func (t *Table) Instances() []Instance { return t.instances }
 
--- a/pollen/pollenrollout/router.go
+++ b/pollen/pollenrollout/router.go
@@ -1,6 +1,7 @@
 package pollenrollout
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -52,8 +53,18 @@
 	state *pollencatalog.RolloutState
 	// orderedAt is when this instance first saw the order.
 	orderedAt time.Time
-	// inForce lists the versions that have the traffic apart from the rollout.
-	inForce []string
+	// record is the stored record of the versions in force; nil if there is none. stored is the state of the rollout in the table.
+	record *pollencatalog.VersionRecord
+	stored *pollencatalog.RolloutState
+	era    uint64
+	// servers holds the servers of the table.
+	servers []*pollencatalog.Server
+	// known holds the versions that have the traffic apart from the rollout.
+	known knowledge
+	// unrecordedSince is since when the store has not had them; zero if it has, or if the configuration does not have the service.
+	unrecordedSince time.Time
+	// isAbsent is set while the service has servers, but none of the versions in force.
+	isAbsent bool
 	// sharers is the number of instances that share the slack; registered is set if this one is among them.
 	sharers    int
 	registered bool
@@ -87,7 +98,8 @@
 	defer r.mu.Unlock()
 	divided := make(map[string]*service)
 	registered := slices.ContainsFunc(table.Instances(), func(i pollencatalog.Instance) bool { return i.Name == r.config.Instance })
-	for _, name := range append(table.Services(), table.RolloutServices()...) {
+	withoutServers := slices.DeleteFunc(slices.Clone(table.RolloutServices()), func(name string) bool { return len(table.ServersOf(name)) > 0 })
+	for _, name := range append(table.Services(), withoutServers...) {
 		s, ok := r.services[name]
 		if !ok {
 			s = &service{}
@@ -106,23 +118,27 @@
 	defer s.mu.Unlock()
 	rollout := table.Rollout(name)
 	s.setOrder(rollout.Order, now)
+	s.record, s.stored, s.era = rollout.Record, rollout.State, table.StoreEra()
 	if rollout.State != nil {
 		r.adopt(s, *rollout.State)
 	}
 	s.sharers, s.registered = table.SharerCount(), registered
 	servers := table.ServersOf(name)
-	s.learnInForce(servers)
+	s.servers = servers
+	s.updateKnown()
+	s.noteAbsence(name)
+	s.noteUnrecorded(table.Configuration(), name, now)
 	s.targets, s.formers = 0, 0
 	for _, server := range servers {
 		switch {
 		case !table.Eligible(server):
 		case s.isTarget(server):
 			s.targets++
-		case slices.Contains(s.inForce, server.Version):
+		case s.isInForce(server):
 			s.formers++
 		}
 	}
-	return s.open() || slices.ContainsFunc(servers, func(server *pollencatalog.Server) bool { return !slices.Contains(s.inForce, server.Version) })
+	return s.open() || slices.ContainsFunc(servers, func(server *pollencatalog.Server) bool { return !s.isInForce(server) })
 }
 
 // setOrder takes the service's order; counting starts anew with a new one.
@@ -136,40 +152,41 @@
 	s.order = order
 }
 
-// learnInForce updates the versions that have the traffic apart from a rollout.
-//
-// A version that appears before an order names it is not among them. An instance that starts when there are several versions takes
-// those that the order does not name, and without an order the one whose servers started first.
-func (s *service) learnInForce(servers []*pollencatalog.Server) {
-	if s.state != nil && len(inForce(s.state)) > 0 {
-		s.inForce = inForce(s.state)
-	}
-	if len(servers) == 0 || slices.ContainsFunc(servers, func(server *pollencatalog.Server) bool { return slices.Contains(s.inForce, server.Version) }) {
-		return
-	}
-	var versions []string
-	var first *pollencatalog.Server
-	for _, server := range servers {
-		if s.isBarred(server.Version) {
-			continue
-		}
-		if first == nil || server.StartedAt.Before(first.StartedAt) {
-			first = server
-		}
-		if !slices.Contains(versions, server.Version) {
-			versions = append(versions, server.Version)
-		}
-	}
-	if first != nil && s.order == nil && s.state == nil {
-		versions = []string{first.Version}
+// updateKnown takes what the store and the servers say of the versions in force.
+func (s *service) updateKnown() {
+	s.known = s.known.next(versionFacts{record: s.record, state: s.state, order: s.order, era: s.era, servers: s.servers})
+}
+
+// isInForce reports whether a server is of a version that has the traffic apart from the rollout.
+func (s *service) isInForce(server *pollencatalog.Server) bool {
+	return slices.Contains(s.known.versions, server.Version)
+}
+
+// noteAbsence logs when the last server of the versions in force is gone while others remain, and when the first one is back.
+func (s *service) noteAbsence(name string) {
+	isAbsent := len(s.servers) > 0 && !slices.ContainsFunc(s.servers, s.isInForce)
+	switch {
+	case isAbsent && !s.isAbsent:
+		klog.InfoS("No server of the version in force", "service", name, "versions", s.known.versions, "order", s.known.orderRevision, "otherServers", len(s.servers))
+	case !isAbsent && s.isAbsent && len(s.servers) > 0:
+		klog.InfoS("Servers of the version in force are back", "service", name, "versions", s.known.versions)
 	}
-	s.inForce = versions
+	s.isAbsent = isAbsent
 }
 
-// isBarred reports whether a version is the target of an order that is not carried out or of a rollout that was rolled back.
-func (s *service) isBarred(version string) bool {
-	barred := s.state != nil && !Completed(s.state) && s.state.Target == version
-	return barred || s.order != nil && s.order.Target == version && !s.current()
+// noteUnrecorded notes since when the store has not had the versions in force.
+func (s *service) noteUnrecorded(configuration *pollencatalog.Configuration, name string, now time.Time) {
+	isRecorded := slices.Equal(storedKnowledge(s.record, s.stored).versions, s.known.versions)
+	isConfigured := false
+	if configuration != nil {
+		_, isConfigured = configuration.Services[name]
+	}
+	switch {
+	case isRecorded || !isConfigured || len(s.known.versions) == 0:
+		s.unrecordedSince = time.Time{}
+	case s.unrecordedSince.IsZero():
+		s.unrecordedSince = now
+	}
 }
 
 // current reports whether the state belongs to the order.
@@ -182,7 +199,7 @@
 
 // isTarget reports whether a server is of the version of the order.
 func (s *service) isTarget(server *pollencatalog.Server) bool {
-	return s.order != nil && server.Version == s.order.Target && !slices.Contains(s.inForce, server.Version)
+	return s.order != nil && server.Version == s.order.Target && !s.isInForce(server)
 }
 
 // adopt takes a stored state unless a later step, or a state of the present order instead of a former one, is known.
@@ -195,9 +212,6 @@
 		return
 	}
 	s.state = &state
-	if versions := inForce(&state); len(versions) > 0 {
-		s.inForce = versions
-	}
 	if r.config.OnState != nil {
 		r.config.OnState(state)
 	}
@@ -281,21 +295,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	mode := s.mode(r.config.Policy, now)
-	former := func(server *pollencatalog.Server) bool { return slices.Contains(s.inForce, server.Version) }
-	hasFormer, hasTarget := slices.ContainsFunc(servers, former), slices.ContainsFunc(servers, s.isTarget)
-	admits := former
+	hasFormer, hasTarget := slices.ContainsFunc(servers, s.isInForce), slices.ContainsFunc(servers, s.isTarget)
+	admits := s.isInForce
 	switch {
 	case mode == targetOnly && hasTarget, mode == dividing && choice == FirstToTarget && hasTarget:
 		admits = s.isTarget
 	case mode == dividing && choice == Any && hasFormer:
-		admits = func(server *pollencatalog.Server) bool { return former(server) || s.isTarget(server) }
+		admits = func(server *pollencatalog.Server) bool { return s.isInForce(server) || s.isTarget(server) }
 	case hasFormer:
 	case mode == dividing:
 		// The former servers are gone: the target gets what the bound allows.
 		allowed := float64(s.exposure+1) <= s.allowance(r.config.Policy)
 		admits = func(server *pollencatalog.Server) bool { return allowed && s.isTarget(server) }
-	default:
-		admits = func(server *pollencatalog.Server) bool { return !s.isBarred(server.Version) && !s.isTarget(server) }
 	}
 	return slices.DeleteFunc(servers, func(server *pollencatalog.Server) bool { return !admits(server) })
 }
@@ -442,6 +453,31 @@
 	return reports
 }
 
+// missingRecords returns what is known of the versions in force where the store does not say it, ordered by service.
+func (r *Router) missingRecords() []unrecorded {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var records []unrecorded
+	for name, s := range r.services {
+		s.mu.Lock()
+		if !s.unrecordedSince.IsZero() {
+			u := unrecorded{since: s.unrecordedSince, record: pollencatalog.VersionRecord{
+				Service: name, Versions: s.known.versions, OrderRevision: s.known.orderRevision, Guessed: s.known.guessed, At: s.known.at,
+			}}
+			if s.record != nil {
+				u.record.Revision = s.record.Revision
+			}
+			if s.stored != nil {
+				u.stateRevision = s.stored.Revision
+			}
+			records = append(records, u)
+		}
+		s.mu.Unlock()
+	}
+	slices.SortFunc(records, func(a, b unrecorded) int { return cmp.Compare(a.record.Service, b.record.Service) })
+	return records
+}
+
 // resumeDelay is how long after a stop by this instance's own evidence the driver is given to confirm it.
 const resumeDelay = time.Second
 
@@ -460,6 +496,7 @@
 	s.contactAt = now
 	if ruling.State != nil && ruling.State.OrderRevision == s.order.Revision {
 		r.adopt(s, *ruling.State)
+		s.updateKnown()
 	}
 	switch {
 	case ruling.Stop != "" && s.stop == "":
@@ -485,5 +522,5 @@
 		copied := *s.state
 		state = &copied
 	}
-	return slices.Clone(s.inForce), s.targets, s.formers, state
+	return slices.Clone(s.known.versions), s.targets, s.formers, state
 }
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -21,6 +21,7 @@
 	EvacuatedZone string
 	RolloutOrder  *pollencatalog.RolloutOrder
 	RolloutState  *pollencatalog.RolloutState
+	VersionRecord *pollencatalog.VersionRecord
 }
 
 // Decoder decodes keys of the store.
@@ -279,7 +280,7 @@
 }
 
 func (v *View) publishTable() {
-	config := pollencatalog.TableConfig{Configuration: v.configuration, EvacuatedZones: make(map[string]bool)}
+	config := pollencatalog.TableConfig{Configuration: v.configuration, EvacuatedZones: make(map[string]bool), StoreEra: v.restore.position.Era}
 	for _, k := range v.keys {
 		switch {
 		case k.record.Server != nil:
@@ -293,6 +294,8 @@
 			config.RolloutOrders = append(config.RolloutOrders, k.record.RolloutOrder)
 		case k.record.RolloutState != nil:
 			config.RolloutStates = append(config.RolloutStates, k.record.RolloutState)
+		case k.record.VersionRecord != nil:
+			config.VersionRecords = append(config.VersionRecords, k.record.VersionRecord)
 		}
 	}
 	config.DepartedInstances = len(v.departedAt)
@@ -328,6 +331,9 @@
 	case record.RolloutState != nil:
 		s := record.RolloutState
 		klog.InfoS(message, "key", key, "revision", revision, "target", s.Target, "state", s.State, "share", s.Share)
+	case record.VersionRecord != nil:
+		r := record.VersionRecord
+		klog.InfoS(message, "key", key, "revision", revision, "versions", r.Versions, "order", r.OrderRevision, "guessed", r.Guessed)
 	default:
 		klog.InfoS(message, "key", key, "revision", revision, "evacuatedZone", record.EvacuatedZone)
 	}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -59,11 +59,12 @@
 	reporter   *pollenrelay.Reporter
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
-	// rollouts chooses servers by version, rolloutDriver decides on rollouts, and rolloutReporter tells other instances that do. All are nil
-	// if the settings leave versions out of account.
+	// rollouts chooses servers by version, rolloutDriver decides on rollouts, rolloutReporter tells other instances that do, and
+	// versionRecorder stores the versions in force. All are nil if the settings leave versions out of account.
 	rollouts        *pollenrollout.Router
 	rolloutDriver   *pollenrollout.Driver
 	rolloutReporter *pollenrelay.RolloutReporter
+	versionRecorder *pollenrollout.Recorder
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
 	// and peerPool holds the connections to them. exchanger sends requests and probes to servers.
 	reach     *pollenreach.Tracker
--- a/pollenentry/pollenfront/rollout.go
+++ b/pollenentry/pollenfront/rollout.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"pollenline.example/platform"
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollenrelay"
 	"pollenline.example/pollen/pollenrollout"
@@ -14,7 +15,7 @@
 const rolloutReportTimeout = 500 * time.Millisecond
 
 // newRollouts creates what moves traffic between versions of servers.
-func (f *Frontend) newRollouts(settings *Settings, store pollenrollout.Store) {
+func (f *Frontend) newRollouts(settings *Settings, store *pollenplatform.Store) {
 	f.rollouts = pollenrollout.NewRouter(pollenrollout.RouterConfig{
 		Policy: settings.rolloutPolicy(), Instance: f.self.Name, Incarnation: f.self.Incarnation, OnState: f.metrics.setRollout,
 	})
@@ -22,6 +23,9 @@
 		Policy: settings.rolloutPolicy(), Store: store, Router: f.rollouts, Collector: pollenrollout.NewCollector(), Instance: f.self.Name,
 		Table: func() *pollencatalog.Table { return f.view.Table() },
 	})
+	f.versionRecorder = pollenrollout.NewRecorder(pollenrollout.RecorderConfig{
+		Store: store, Router: f.rollouts, Instance: f.self.Name, Table: func() *pollencatalog.Table { return f.view.Table() },
+	})
 	f.rolloutReporter = pollenrelay.NewRolloutReporter(pollenrelay.RolloutReporterConfig{Timeout: rolloutReportTimeout, Dial: dialPeer, Follow: f.rollouts.Follow})
 }
 
@@ -32,7 +36,8 @@
 	}
 }
 
-// reportRollouts tells the drivers of the open rollouts what this instance has counted, and decides on those that it drives.
+// reportRollouts tells the drivers of the open rollouts what this instance has counted, decides on those that it drives, and stores the
+// versions in force if that falls to it.
 func (f *Frontend) reportRollouts(ctx context.Context) {
 	if f.rollouts == nil {
 		return
@@ -51,4 +56,7 @@
 	}
 	f.rolloutReporter.Send(ctx, reports)
 	f.rolloutDriver.Tick(ctx)
+	if !f.viewStale.Load() {
+		f.versionRecorder.Tick(ctx, now)
+	}
 }
--- a/pollenentry/pollenfront/rollout_test.go
+++ b/pollenentry/pollenfront/rollout_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollenline.example/platform/pollenfakeplatform"
+	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollenstore"
 )
 
@@ -163,3 +164,61 @@
 		})
 	}
 }
+
+// Guards against a version that no order has named and that gets requests when all servers of the one in force are down, also from an
+// instance that starts then, and against its order being completed without a canary.
+func TestVersionInForceOutlivesCrash(t *testing.T) {
+	c := qt.New(t)
+	f := startRolloutFleet(t, c)
+	former := f.startServers(t, c, "v1", pollenfakeplatform.ServerFaults{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	var failed atomic.Int32
+	for range 8 {
+		callers.Go(func() { f.call(ctx, 200*time.Millisecond, &failed) })
+	}
+	recordedAt := func() uint64 {
+		entry, err := f.store.store.Get(t.Context(), pollenrollout.RecordPrefix+"x")
+		c.Assert(err, qt.IsNil)
+		return entry.Version
+	}
+	waitFor(c, 15*time.Second, "version in the store", func() bool { return recordedAt() > 0 })
+	revision := recordedAt()
+	f.startServers(t, c, "v2", pollenfakeplatform.ServerFaults{LostAnswerShare: 0.4})
+	time.Sleep(time.Second)
+	for _, server := range former {
+		server.KillAndDeregister(t.Context())
+	}
+	started := startFrontend(t, c, "entry-3", f.store.address, func(s *Settings) { s.RolloutShare, s.RolloutSlack = 0.1, 50 })
+	waitFor(c, 5*time.Second, "servers known to the instance that starts", func() bool { return len(started.view.Table().ServersOf("x")) == 3 })
+	c.Assert(started.rollouts.Admit(started.view.Table().AppendEligible(nil, "x"), "x", pollenrollout.Any, time.Now()), qt.HasLen, 0)
+	time.Sleep(2 * time.Second)
+	f.startServers(t, c, "v1", pollenfakeplatform.ServerFaults{})
+	time.Sleep(2 * time.Second)
+	c.Assert(recordedAt(), qt.Equals, revision, qt.Commentf("the version in force has not changed"))
+	ordered, err := pollenfakeplatform.OrderRollout(t.Context(), f.store.store, "x", "v2", 10*time.Second)
+	c.Assert(err, qt.IsNil)
+	select {
+	case <-f.ended:
+	case <-time.After(10 * time.Second):
+	}
+	cancel()
+	callers.Wait()
+	before, exposure, total := 0, 0, 0
+	for _, run := range f.ledger.All() {
+		isTarget := strings.HasPrefix(run.Server, "v2")
+		switch {
+		case run.StartedAt.After(ordered):
+			total++
+			if isTarget {
+				exposure++
+			}
+		case isTarget:
+			before++
+		}
+	}
+	t.Logf("%d requests to the target before the order; %s with %d of %d requests to it", before, f.status, exposure, total)
+	c.Assert(before, qt.Equals, 0)
+	c.Assert(f.status, qt.Equals, "rolled_back")
+	c.Assert(float64(exposure) <= 0.1*float64(total)+50, qt.IsTrue)
+}
