--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -87,10 +87,11 @@
 	minEjection = 500 * time.Millisecond
 	maxEjection = 4 * time.Second
 	// A server is unresponsive to a request that has no answer after unresponsiveFactor times its expected latency, and
-	// at least unresponsiveAfter, if the server has answered none since that request was sent. Pauses of servers are
-	// shorter.
-	unresponsiveFactor = 8
-	unresponsiveAfter  = 500 * time.Millisecond
+	// at least unresponsiveAfter and unresponsiveTailFactor times the usualQuantile of its route, if the server has answered none
+	// since that request was sent. Pauses of servers are shorter. No server is before the route has minSamples answers.
+	unresponsiveFactor     = 8
+	unresponsiveTailFactor = 2
+	unresponsiveAfter      = 500 * time.Millisecond
 	// defaultLatency is the assumed median latency of a route before its first answer.
 	defaultLatency = 20 * time.Millisecond
 )
@@ -217,6 +218,24 @@
 	return sketch.Quantile(quantile)
 }
 
+const (
+	// usualQuantile is the quantile of a route's latencies that counts as usual for long work, and minUsualSamples the number of
+	// answers from which on it is known: the first answers are those of the shortest requests.
+	usualQuantile   = 0.99
+	minUsualSamples = 100
+)
+
+// UsualLatency returns the latency that servers rarely exceed on a route; zero if it is not known yet.
+func (r *Ranking) UsualLatency(route string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sketch, ok := r.routes[route]
+	if !ok || sketch.Samples() < minUsualSamples {
+		return 0
+	}
+	return sketch.Quantile(usualQuantile)
+}
+
 // minSamples is the number of answers before a route's quantiles are used.
 const minSamples = 20
 
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -60,18 +60,21 @@
 	reporter   *pollenrelay.Reporter
 	// suspects holds the evidence against requests under which servers ended; sharer sends it to the other instances.
 	suspects *pollensuspect.Registry
-	// rollouts chooses servers by version, rolloutDriver decides on rollouts, and rolloutReporter tells other instances that do. All are nil
-	// if the settings leave versions out of account.
+	// rollouts chooses servers by version, rolloutDriver decides on rollouts, rolloutReporter tells other instances that do, and
+	// versionRecorder stores the versions in force. All are nil if the settings leave versions out of account.
 	rollouts        *pollenrollout.Router
 	rolloutDriver   *pollenrollout.Driver
 	rolloutReporter *pollenrelay.RolloutReporter
+	versionRecorder *pollenrollout.Recorder
 	// reach tells whether this instance reaches the servers; peers chooses the instances that take its requests if it does not,
 	// and peerPool holds the connections to them. exchanger sends requests and probes to servers.
 	reach     *pollenreach.Tracker
 	peers     *pollenreach.Peers
 	peerPool  *pollenpool.Pool
 	exchanger *pollenplatform.Exchanger
-	forwarder *pollenforward.Forwarder
+	// probeDialer makes the connections of probes of suspected servers.
+	probeDialer *net.Dialer
+	forwarder   *pollenforward.Forwarder
 	// probing is set during a round of probes.
 	probing   atomic.Bool
 	sharer    *pollenrelay.Sharer
@@ -182,6 +185,7 @@
 		configured:   make(chan struct{}),
 		tableChanged: make(chan struct{}, 1),
 		reach:        pollenreach.NewTracker(),
+		probeDialer:  pollenpool.NewDialer(pollenpool.Config{DialTimeout: pollenreach.ProbeTimeout, SourceAddress: settings.SourceAddress}),
 		peers:        pollenreach.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		peerPool:     pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, KeepAlive: keepAliveConfig}),
 		drain:        pollendrain.New(),
@@ -286,14 +290,17 @@
 // Run serves until ctx is done or a listener fails, then drains open requests before it returns.
 func (f *Frontend) Run(ctx context.Context) error {
 	serveErrors := make(chan error, len(f.httpServers)+1)
-	var listeners []net.Listener
+	var callerListener net.Listener
 	for _, server := range f.httpServers {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil {
 			return &ListenError{Address: server.Addr, Err: err}
 		}
-		listeners = append(listeners, listener)
-		go func() { serveErrors <- server.Serve(listener) }()
+		serve := server.Serve
+		if server == f.httpServers[0] {
+			callerListener, serve = listener, f.callerConns.serve
+		}
+		go func() { serveErrors <- serve(listener) }()
 	}
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -323,7 +330,7 @@
 	f.drain.Start(plan)
 	klog.InfoS("Stop", "timeout", f.settings.Load().StopTimeout.Std().String())
 	cancelRegistration()
-	f.logCutOff(f.callerConns.drain(f.httpServers[0], listeners[0], plan))
+	f.logCutOff(f.callerConns.drain(callerListener, plan))
 	<-unregistered
 	refused, ended := f.drain.Counts()
 	klog.InfoS("Stopped", "refused", refused, "endedUnanswered", ended)
