--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -65,6 +65,11 @@
 	Rulings []pollenrollout.Ruling
 }
 
+// unusable reports whether a reply must not be used: it is stale, or of an instance that has not read any keys yet.
+func (r *Reply) unusable() bool {
+	return r.Stale || !r.Compacted && r.Listing.Revision == 0 && r.Changes.Revision == 0
+}
+
 // ServerConfig holds the parameters of a Server.
 type ServerConfig struct {
 	// MaxStaleness is the longest time since the store's last answer for which the replica is served.
@@ -218,17 +223,19 @@
 
 // ShareUsage adopts the caller's usage report and returns this instance's.
 func (s *service) ShareUsage(request UsageRequest, reply *Reply) error {
-	if a := s.server.config.Allowances; a != nil {
-		a.Merge(request.Usage, time.Now())
-		reply.Usage = a.Message(request.Usage.Instance, time.Now())
+	a := s.server.config.Allowances
+	if a == nil {
+		return errNoPart
 	}
+	a.Merge(request.Usage, time.Now())
+	reply.Usage = a.Message(request.Usage.Instance, time.Now())
 	return nil
 }
 
 // ReportRollouts takes an instance's reports on rollouts that this instance drives.
 func (s *service) ReportRollouts(request RolloutsRequest, reply *Reply) error {
 	if s.server.config.ReceiveRollout == nil {
-		return nil
+		return errNoPart
 	}
 	for _, report := range request.Reports {
 		reply.Rulings = append(reply.Rulings, s.server.config.ReceiveRollout(report, time.Now()))
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -38,6 +38,7 @@
 	"pollenline.example/pollen/pollenroster"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollensuspect"
+	"pollenline.example/pollen/pollenversion"
 	"pollenline.example/pollen/pollenview"
 )
 
@@ -175,7 +176,7 @@
 		self: pollencatalog.Instance{
 			Name: settings.Name, Zone: settings.Zone, CallerAddress: settings.CallerAddress, Ready: true,
 			PeerAddress: settings.PeerAddress, Processor: settings.ProcessorShare,
-			Incarnation: fmt.Sprintf("%016x", rand.Uint64()),
+			Incarnation: fmt.Sprintf("%016x", rand.Uint64()), Protocol: pollenversion.Protocol, Build: pollenversion.Build(),
 		},
 		pool:         pollenpool.New(pollenpool.Config{DialTimeout: dialTimeout, IdleTimeout: defaultServerIdleTimeout, KeepAlive: keepAliveConfig, SourceAddress: settings.SourceAddress}),
 		ranking:      pollenrank.New(pollenrank.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
@@ -190,6 +191,8 @@
 		drain:        pollendrain.New(),
 		suspects:     pollensuspect.New(pollensuspect.Config{InstanceName: settings.Name}),
 	}
+	// The first line of the log: what follows logs, too.
+	klog.InfoS("Start", "build", f.self.Build, "protocol", f.self.Protocol, "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	f.quotas = pollenquota.New(pollenquota.Config{InstanceName: settings.Name, Standbys: f.countStandbys})
 	f.metrics = newMetrics(f.quotas.LimitedServers, f.suspects.Refused, func() pollengate.Counts { return f.gate.Count(time.Now()) }, f.ranking.Counts)
 	f.allowances = pollenallowance.New(pollenallowance.Config{
@@ -227,6 +230,7 @@
 		Decoder: pollenplatform.Decoder{}, GracePeriod: storeRecoveryTime, DepartedRetention: departedRetention, BeforePublish: f.observeVersions, OnPublish: f.onPublish,
 	})
 	f.metrics.countUnreadableKeys(f.view.UnreadableKeys)
+	f.metrics.stateBuilds(f.self, f.view.Table)
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
 		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
@@ -285,7 +289,6 @@
 
 // Run serves until ctx is done or a listener fails, then drains open requests before it returns.
 func (f *Frontend) Run(ctx context.Context) error {
-	klog.InfoS("Start", "zone", f.self.Zone, "callerAddress", f.self.CallerAddress.String(), "incarnation", f.self.Incarnation)
 	serveErrors := make(chan error, len(f.httpServers)+1)
 	var callerListener net.Listener
 	for _, server := range f.httpServers {
