--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -12,7 +11,6 @@
 	"reflect"
 	"runtime/debug"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -249,12 +247,12 @@
 		Writer: store, Key: key, Value: f.registeredValue, LeaseDuration: settings.InstanceLease.Std(), OnInterruption: f.follower.RestartWatch,
 	})
 	f.httpServers = []*http.Server{
-		f.newHTTPServer(settings.CallerAddress, f.newIngress()),
-		f.newHTTPServer(settings.DirectoryAddress, pollenplatform.NewDirectory(pollenplatform.DirectoryConfig{
+		newHTTPServer(settings.CallerAddress, f.newIngress()),
+		newHTTPServer(settings.DirectoryAddress, pollenplatform.NewDirectory(pollenplatform.DirectoryConfig{
 			Instances: f.callerInstances, TTL: min(settings.LongestLifetime.Std(), scale(settings.StopTimeout, pollendrain.CacheShare)),
 		})),
-		f.newHTTPServer(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
-		f.newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
+		newHTTPServer(settings.ReadinessAddress, pollenplatform.NewReadiness(f.ready)),
+		newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
 	f.callerConns = newConnTracker(f.httpServers[0])
 	return f, nil
@@ -373,37 +371,6 @@
 
 func (e *ListenError) Unwrap() error { return e.Err }
 
-func (f *Frontend) newHTTPServer(address netip.AddrPort, handler http.Handler) *http.Server {
-	return &http.Server{
-		Addr: address.String(), Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ErrorLog: log.New(serverLog{}, "", 0),
-	}
-}
-
-// serverLog writes what an HTTP server reports: panics of its handlers, which end connections without an answer, as errors, and what callers
-// cause as details.
-type serverLog struct{}
-
-// panicPrefix begins the reports of panics.
-const panicPrefix = "http: panic"
-
-func (serverLog) Write(report []byte) (int, error) {
-	text := strings.TrimSpace(string(report))
-	if strings.HasPrefix(text, panicPrefix) {
-		klog.ErrorS(nil, "Request handler panicked", "report", text)
-	} else {
-		slog.Debug(text)
-	}
-	return len(report), nil
-}
-
-const (
-	// readHeaderTimeout bounds how long a caller may take to send the headers of a request.
-	readHeaderTimeout = 10 * time.Second
-	// callerIdleTimeout is how long an idle connection of a caller is kept open.
-	callerIdleTimeout = 2 * time.Minute
-)
-
 // handleStoreMessage updates the relay and the stale flag, then forwards a follower's message to the view's actor.
 func (f *Frontend) handleStoreMessage(message any) {
 	switch m := message.(type) {
--- a/pollenentry/pollenfront/serverlog_test.go
+++ b/pollenentry/pollenfront/server_test.go
@@ -19,7 +19,7 @@
 	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(&output, nil)))
 	t.Cleanup(klog.ClearLogger)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("odd request") }))
-	server.Config = (&Frontend{}).newHTTPServer(freeAddress(), server.Config.Handler)
+	server.Config = newHTTPServer(freeAddress(), server.Config.Handler)
 	server.Start()
 	_, err := server.Client().Get(server.URL)
 	c.Assert(err, qt.ErrorIs, io.EOF)
