Soak: requests that a stalled link has held up are no late requests to an evacuated zone

Request c749-2-19 (504 at 08:10:17.48) is alike. Nothing was sent after the evacuation. Two cases are added, one of them with a link that had recovered before the request was sent, which still counts.

--- a/pollenbench/pollensoak/check.go
+++ b/pollenbench/pollensoak/check.go
@@ -265,6 +265,10 @@
 				if c.ackedAt.IsZero() || c.name != name(run) || !run.StartedAt.After(c.ackedAt.Add(bound)) || !c.revertedAt.IsZero() && run.StartedAt.After(c.revertedAt) {
 					continue
 				}
+				// A link that stalled may deliver a request long after it was sent.
+				if r.linksDisturbed(o.Sent, run.StartedAt) {
+					continue
+				}
 				if r.storeUndisturbed(r.instanceNumber(o), run.StartedAt) && r.storeUndisturbed(r.instanceNumber(o), c.ackedAt.Add(bound)) {
 					report(o.Request.ID, "ran on server %s in zone %s %v after the change to %s was acknowledged", run.Server, run.Zone, run.StartedAt.Sub(c.ackedAt), c.name)
 				}
--- a/pollenbench/pollensoak/check_test.go
+++ b/pollenbench/pollensoak/check_test.go
@@ -165,6 +165,14 @@
 		{"zone was evacuated", func(r *record) {
 			r.evacuations = []*change{{name: "zone-a", ackedAt: atSecond(44), revertedAt: atSecond(60)}}
 		}, "Evacuated"},
+		{"zone was evacuated, a stalled link held the requests up", func(r *record) {
+			r.evacuations = []*change{{name: "zone-a", ackedAt: atSecond(44), revertedAt: atSecond(60)}}
+			r.disturbances = []*disturbance{{instance: 1, effect: disturbsLinks, begin: atSecond(40), end: atSecond(50.01)}}
+		}, ""},
+		{"zone was evacuated, a link had stalled before", func(r *record) {
+			r.evacuations = []*change{{name: "zone-a", ackedAt: atSecond(44), revertedAt: atSecond(60)}}
+			r.disturbances = []*disturbance{{instance: 1, effect: disturbsLinks, begin: atSecond(40), end: atSecond(49)}}
+		}, "Evacuated"},
 		{"zone had come back", func(r *record) {
 			r.evacuations = []*change{{name: "zone-a", ackedAt: atSecond(40), revertedAt: atSecond(49)}}
 		}, ""},
