Relay: state what instances exchange, and the configuration's size and version

Adds pollen_configuration_version, pollen_relay_bytes_total, pollen_relay_abandoned_replies_total, the configuration's size in "Configuration adopted", and to the cause of "Watcher lost" how many bytes of the reply had come. No decision changes.

--- a/pollen/pollenrelay/peer.go
+++ b/pollen/pollenrelay/peer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"net/rpc"
+	"time"
 
 	"k8s.io/klog/v2"
 )
@@ -16,9 +18,24 @@
 	// address is the instance that was called last; client and conn are the connection to it, if client is not nil.
 	address netip.AddrPort
 	client  *rpc.Client
-	conn    net.Conn
+	conn    *meteredConn
 }
 
+// IncompleteReplyError reports a call whose reply had not arrived whole when it was given up.
+type IncompleteReplyError struct {
+	Address netip.AddrPort
+	// Received is the number of bytes that had arrived by then, Waited the time since the call began.
+	Received int64
+	Waited   time.Duration
+	Err      error
+}
+
+func (e *IncompleteReplyError) Error() string {
+	return fmt.Sprintf("instance %v has sent %d bytes of a reply in %v: %v", e.Address, e.Received, e.Waited, e.Err)
+}
+
+func (e *IncompleteReplyError) Unwrap() error { return e.Err }
+
 // call calls a method over the connection to address. The connection is closed if the call fails, but for an *UnsupportedError.
 func (p *peerConn) call(ctx context.Context, address netip.AddrPort, method string, request any) (*Reply, error) {
 	if err := p.connect(ctx, address); err != nil {
@@ -31,7 +48,7 @@
 			return nil, err
 		}
 	}
-	reply := &Reply{}
+	reply, start, before := &Reply{}, time.Now(), p.conn.received.Load()
 	call := p.client.Go(method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -41,8 +58,16 @@
 		return reply, nil
 	case <-ctx.Done():
 		p.close()
-		return nil, ctx.Err()
+		return nil, p.incompleteReply(ctx.Err(), p.conn.received.Load()-before, time.Since(start))
+	}
+}
+
+// incompleteReply returns the error of a call that was given up because of err, and counts it if a part of the reply was wasted.
+func (p *peerConn) incompleteReply(err error, received int64, waited time.Duration) error {
+	if received > 0 {
+		AbandonedReplies.Inc()
 	}
+	return &IncompleteReplyError{Address: p.address, Received: received, Waited: waited, Err: err}
 }
 
 // callError returns the error of a failed call, and closes the connection unless the peer has only refused the call.
@@ -65,7 +90,8 @@
 	if err != nil {
 		return err
 	}
-	p.client, p.conn = rpc.NewClient(conn), conn
+	p.conn = &meteredConn{Conn: conn}
+	p.client = rpc.NewClient(p.conn)
 	return nil
 }
 
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -147,7 +147,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go server.ServeConn(conn)
+		go server.ServeConn(&meteredConn{Conn: conn})
 	}
 }
 
--- a/pollen/pollenview/view.go
+++ b/pollen/pollenview/view.go
@@ -197,7 +197,7 @@
 		}
 		delete(v.keys, entry.Key)
 	case record.Configuration != nil:
-		v.adoptConfiguration(record.Configuration)
+		v.adoptConfiguration(record.Configuration, len(entry.Value))
 	case record == Record{}:
 		delete(v.keys, entry.Key)
 	default:
@@ -208,12 +208,12 @@
 	}
 }
 
-// adoptConfiguration replaces the configuration by a newer version and ignores older ones.
-func (v *View) adoptConfiguration(configuration *pollencatalog.Configuration) {
+// adoptConfiguration replaces the configuration by a newer version and ignores older ones; bytes is the size of its encoding.
+func (v *View) adoptConfiguration(configuration *pollencatalog.Configuration, bytes int) {
 	if configuration.Version <= v.configurationVersion() {
 		return
 	}
-	klog.InfoS("Configuration adopted", "version", configuration.Version, "before", v.configurationVersion(), "routes", len(configuration.Routes))
+	klog.InfoS("Configuration adopted", "version", configuration.Version, "before", v.configurationVersion(), "routes", len(configuration.Routes), "bytes", bytes)
 	for _, problem := range configuration.Problems {
 		klog.ErrorS(problem, "Configuration is not followed in one point", "version", configuration.Version)
 	}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -229,6 +229,7 @@
 	})
 	f.metrics.countUnreadableKeys(f.view.UnreadableKeys)
 	f.metrics.stateBuilds(f.self, f.view.Table)
+	f.metrics.stateConfiguration(f.view.Table)
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
 		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
--- a/pollenentry/pollenfront/metrics.go
+++ b/pollenentry/pollenfront/metrics.go
@@ -11,6 +11,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenrank"
+	"pollenline.example/pollen/pollenrelay"
 	"pollenline.example/pollen/pollenteam"
 	"pollenline.example/pollen/pollenversion"
 )
@@ -73,6 +74,18 @@
 	return m
 }
 
+// stateConfiguration adds the version in force, and what the instance exchanges with others to learn it.
+func (m *metrics) stateConfiguration(table func() *pollencatalog.Table) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pollen_configuration_version", Help: "Version of the configuration in force here, zero if none is known.",
+	}, func() float64 {
+		if configuration := table().Configuration(); configuration != nil {
+			return float64(configuration.Version)
+		}
+		return 0
+	}), pollenrelay.Bytes, pollenrelay.AbandonedReplies)
+}
+
 // countUnreadableKeys adds the number of keys of the store that can't be read.
 func (m *metrics) countUnreadableKeys(count func() int) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
