Relay: a reply that goes on arriving is not given up

Followers bounded their call of the watcher as a whole: 38 of them share its link, and a value of 800 KB did not fit into the 1.25 s. All gave up some 530 KB each and asked the other watchers from the beginning, whose links were as busy.

A reply now counts as lost when nothing of it arrives for the slack, or after 0.3 of the configuration delay more than before in all, so that one that trickles leaves time for another watcher (pollenprogress). The same for listings of seeds, which were bounded by 500 ms together.

--- a/pollen/pollenrelay/large_test.go
+++ b/pollen/pollenrelay/large_test.go
@@ -244,7 +244,7 @@
 					return append(append([]netip.AddrPort{}, addresses[:zone]...), addresses[zone+1:]...)
 				},
 				ListedWatcher: func(pollenstore.Listing) (netip.AddrPort, bool) { return addresses[zone], true },
-				WatchWait:     configurationDelay * 15 / 100, WatchSlack: configurationDelay / 10, StoreRetry: configurationDelay / 2,
+				WatchWait:     configurationDelay * 15 / 100, WatchSlack: configurationDelay / 10, TransferTimeout: configurationDelay * 3 / 10, StoreRetry: configurationDelay / 2,
 				Dial: func(_ context.Context, address netip.AddrPort) (net.Conn, error) {
 					client, server := net.Pipe()
 					listeners[address].conns <- &linkedConn{Conn: server, links: []*link{f.links[address.Addr().As4()[3]], own}}
--- a/pollen/pollenrelay/meter.go
+++ b/pollen/pollenrelay/meter.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"pollenline.example/pollen/pollenprogress"
 )
 
 var (
@@ -24,14 +26,16 @@
 // meteredConn is a connection to another instance that counts its traffic.
 type meteredConn struct {
 	net.Conn
-	// received is the number of bytes that this connection has received.
-	received atomic.Int64
+	// transfer is the reply that is arriving, if there is one.
+	transfer atomic.Pointer[pollenprogress.Transfer]
 }
 
 // Read implements net.Conn and counts the received bytes.
 func (m *meteredConn) Read(p []byte) (int, error) {
 	n, err := m.Conn.Read(p)
-	m.received.Add(int64(n))
+	if transfer := m.transfer.Load(); transfer != nil && n > 0 {
+		transfer.Add(n)
+	}
 	receivedBytes.Add(float64(n))
 	return n, err
 }
--- a/pollen/pollenrelay/peer.go
+++ b/pollen/pollenrelay/peer.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"pollenline.example/pollen/pollenprogress"
 )
 
 // peerConn is a connection to one other instance at a time, which is opened by the first call.
@@ -24,18 +26,37 @@
 // IncompleteReplyError reports a call whose reply had not arrived whole when it was given up.
 type IncompleteReplyError struct {
 	Address netip.AddrPort
-	// Received is the number of bytes that had arrived by then, Waited the time since the call began.
-	Received int64
-	Waited   time.Duration
-	Err      error
+	Err     error
 }
 
 func (e *IncompleteReplyError) Error() string {
-	return fmt.Sprintf("instance %v has sent %d bytes of a reply in %v: %v", e.Address, e.Received, e.Waited, e.Err)
+	return fmt.Sprintf("reply of instance %v: %v", e.Address, e.Err)
 }
 
 func (e *IncompleteReplyError) Unwrap() error { return e.Err }
 
+// fetch calls a method whose reply may be large: it may arrive for as long as the limits allow.
+func (p *peerConn) fetch(ctx context.Context, address netip.AddrPort, limits pollenprogress.Limits, method string, request any) (*Reply, error) {
+	ctx, transfer := pollenprogress.Start(ctx, limits)
+	defer transfer.End()
+	if err := p.connect(ctx, address); err != nil {
+		return nil, err
+	}
+	conn := p.conn
+	conn.transfer.Store(transfer)
+	defer conn.transfer.Store(nil)
+	if err := conn.SetWriteDeadline(time.Now().Add(limits.First)); err != nil {
+		p.close()
+		return nil, err
+	}
+	reply, err := p.call(ctx, address, method, request)
+	var timeout *pollenprogress.TimeoutError
+	if errors.As(err, &timeout) && timeout.Received > 0 {
+		AbandonedReplies.Inc()
+	}
+	return reply, err
+}
+
 // call calls a method over the connection to address. The connection is closed if the call fails, but for an *UnsupportedError.
 func (p *peerConn) call(ctx context.Context, address netip.AddrPort, method string, request any) (*Reply, error) {
 	if err := p.connect(ctx, address); err != nil {
@@ -48,7 +69,7 @@
 			return nil, err
 		}
 	}
-	reply, start, before := &Reply{}, time.Now(), p.conn.received.Load()
+	reply := &Reply{}
 	call := p.client.Go(method, request, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -58,16 +79,8 @@
 		return reply, nil
 	case <-ctx.Done():
 		p.close()
-		return nil, p.incompleteReply(ctx.Err(), p.conn.received.Load()-before, time.Since(start))
-	}
-}
-
-// incompleteReply returns the error of a call that was given up because of err, and counts it if a part of the reply was wasted.
-func (p *peerConn) incompleteReply(err error, received int64, waited time.Duration) error {
-	if received > 0 {
-		AbandonedReplies.Inc()
+		return nil, &IncompleteReplyError{Address: address, Err: context.Cause(ctx)}
 	}
-	return &IncompleteReplyError{Address: p.address, Received: received, Waited: waited, Err: err}
 }
 
 // callError returns the error of a failed call, and closes the connection unless the peer has only refused the call.
--- a/pollen/pollenrelay/seeds.go
+++ b/pollen/pollenrelay/seeds.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollenprogress"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollensuspect"
 )
@@ -18,8 +19,10 @@
 type SeedsConfig struct {
 	// Addresses are the peer addresses of a few instances, some of which may be gone.
 	Addresses []netip.AddrPort
-	// Timeout bounds how long all of them together are waited for.
+	// Timeout is how long each of them may be silent.
 	Timeout time.Duration
+	// TransferTimeout is how much longer a reply may take that goes on arriving.
+	TransferTimeout time.Duration
 	// Dial connects to a peer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Suspects gets the seeds' evidence against requests; if it is nil, that is dropped.
@@ -66,8 +69,6 @@
 // Load pattern: instances restart while the store is down or unreachable. The others still serve from what they know, and
 // so can an instance that asks them.
 func (s *Seeds) List(ctx context.Context) (pollenstore.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.config.Timeout)
-	defer cancel()
 	type result struct {
 		listing pollenstore.Listing
 		err     error
@@ -99,7 +100,8 @@
 func (s *Seeds) listFrom(ctx context.Context, address netip.AddrPort) (pollenstore.Listing, error) {
 	conn := peerConn{dial: s.config.Dial}
 	defer conn.close()
-	reply, err := conn.call(ctx, address, methodListKnown, ListRequest{})
+	limits := pollenprogress.Limits{First: s.config.Timeout, Silence: s.config.Timeout, Total: s.config.Timeout + s.config.TransferTimeout}
+	reply, err := conn.fetch(ctx, address, limits, methodListKnown, ListRequest{})
 	if err != nil {
 		return pollenstore.Listing{}, err
 	}
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenprogress"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollensuspect"
 )
@@ -46,8 +47,10 @@
 	Suspects *pollensuspect.Registry
 	// WatchWait is how long the watcher may hold a watch without an event.
 	WatchWait time.Duration
-	// WatchSlack is how long after WatchWait the watcher may answer before it counts as unresponsive.
+	// WatchSlack is how long after WatchWait the watcher may answer before it counts as unresponsive, and how long its reply may stall.
 	WatchSlack time.Duration
+	// TransferTimeout is how much longer a reply may take that goes on arriving.
+	TransferTimeout time.Duration
 	// Dial connects to a peer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// OtherWatchers returns the addresses of the other zones' watchers, which an instance on standby asks before the store; if it
@@ -118,9 +121,7 @@
 	if !ok {
 		return pollenstore.Changes{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSlack)
-	defer cancel()
-	reply, err := s.watcher.call(ctx, address, methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era})
+	reply, err := s.watcher.fetch(ctx, address, s.limits(0), methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era})
 	if err == nil {
 		s.mergeSuspects(reply)
 	}
@@ -198,9 +199,7 @@
 		s.setFallback(false, nil)
 		return nil, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.config.WatchWait+s.config.WatchSlack)
-	defer cancel()
-	reply, err := s.watcher.call(ctx, address, method, request)
+	reply, err := s.watcher.fetch(ctx, address, s.limits(s.config.WatchWait), method, request)
 	if err == nil {
 		s.mergeSuspects(reply)
 	}
@@ -211,6 +210,12 @@
 	return reply, err == nil
 }
 
+// limits returns the limits of a call that an instance may hold for wait.
+func (s *Source) limits(wait time.Duration) pollenprogress.Limits {
+	first := wait + s.config.WatchSlack
+	return pollenprogress.Limits{First: first, Silence: s.config.WatchSlack, Total: first + s.config.TransferTimeout}
+}
+
 // mayCallStore reports whether an instance on standby may call the store now, although all watchers have lost it or don't answer.
 func (s *Source) mayCallStore() bool {
 	return len(s.config.OtherWatchers()) == 0 || s.pace.allow(time.Now(), s.config.StoreRetry, rand.Float64())
@@ -228,9 +233,7 @@
 	}
 	s.otherAddress = netip.AddrPort{}
 	for _, address := range addresses {
-		callCtx, cancel := context.WithTimeout(ctx, s.config.WatchWait+s.config.WatchSlack)
-		reply, err := s.other.call(callCtx, address, methodWatch, request)
-		cancel()
+		reply, err := s.other.fetch(ctx, address, s.limits(s.config.WatchWait), methodWatch, request)
 		if err == nil && !reply.unusable() && !s.isOfEarlierEra(reply) {
 			s.mergeSuspects(reply)
 			s.otherAddress = address
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -120,7 +120,7 @@
 	// departedRetention keeps the instances' shares of the limits from growing abruptly when many instances leave
 	// the list.
 	departedRetention = 15 * time.Second
-	// seedTimeout bounds how long other instances are asked for the keys when the store does not answer at startup.
+	// seedTimeout is how long an instance that is asked for the keys at startup, as the store does not answer, may be silent.
 	seedTimeout = 500 * time.Millisecond
 	// shareTimeout bounds an exchange of evidence against requests, or of the use of teams, with another instance.
 	shareTimeout = 500 * time.Millisecond
@@ -149,6 +149,9 @@
 	// Followers of a watcher use shorter watches, so that they add little to the watcher's delay.
 	peerWaitShare  = 0.15
 	peerSlackShare = 0.1
+	// transferShare is how much longer a reply may take that goes on arriving: followers of one watcher share its link. After it,
+	// another watcher can still be asked in time.
+	transferShare = 0.3
 	// standbyRetryShare is the longest time between two calls of a store that does not answer by an instance on standby: with
 	// the watch after it, a store that only the watchers can't reach is still read in time.
 	standbyRetryShare = 0.5
@@ -233,11 +236,14 @@
 	f.actor = pollenactor.Spawn(logger, f.view.Receive)
 	f.source = pollenrelay.NewSource(pollenrelay.SourceConfig{
 		Store: store, Self: f.self, Standby: func() bool { return !f.active.Load() }, Server: f.relay, Watcher: f.watcherAddress, ListedWatcher: f.listedWatcher, Dial: dialPeer, Suspects: f.suspects,
-		WatchWait: scale(settings.ConfigurationDelay, peerWaitShare), WatchSlack: scale(settings.ConfigurationDelay, peerSlackShare),
+		WatchWait: scale(settings.ConfigurationDelay, peerWaitShare), WatchSlack: scale(settings.ConfigurationDelay, peerSlackShare), TransferTimeout: scale(settings.ConfigurationDelay, transferShare),
 		OtherWatchers: f.otherWatchers, StoreRetry: scale(settings.ConfigurationDelay, standbyRetryShare),
 	})
+	seeds := pollenrelay.NewSeeds(pollenrelay.SeedsConfig{
+		Addresses: settings.otherSeeds(), Timeout: seedTimeout, TransferTimeout: scale(settings.ConfigurationDelay, transferShare), Dial: dialPeer, Suspects: f.suspects,
+	})
 	f.follower = pollenfollow.NewFollower(pollenfollow.FollowerConfig{
-		Reader: f.source, Seeds: pollenrelay.NewSeeds(pollenrelay.SeedsConfig{Addresses: settings.otherSeeds(), Timeout: seedTimeout, Dial: dialPeer, Suspects: f.suspects}),
+		Reader: f.source, Seeds: seeds,
 		Post: f.handleStoreMessage, WatchWait: scale(settings.ConfigurationDelay, watchWaitShare), StartupDelay: settings.startupDelay(f.self), BatchDelay: settings.StorePause.Std(),
 	})
 	key, _, err := pollenroster.EncodeInstance(f.self)
