Replica: keep the newest write of a key only

A write that a later one replaces is removed from the stored changes; deletions stay, so that followers still learn that a key was gone in between.

--- a/pollen/pollenreplica/replica.go
+++ b/pollen/pollenreplica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -16,7 +17,8 @@
 	position pollenstore.Position
 	// entries holds the keys' entries at the position.
 	entries map[string]pollenstore.Entry
-	// events holds the changes after revision oldest, in order; they are all of the position's era.
+	// events holds the changes after revision oldest, in order and without writes that later ones replace; they are all of the position's
+	// era.
 	events []pollenstore.Event
 	// oldest is the earliest revision that a watch can start from.
 	oldest uint64
@@ -62,11 +64,12 @@
 		if event.Deleted {
 			delete(r.entries, event.Entry.Key)
 		} else {
+			r.dropEventLocked(event.Entry.Key, r.entries[event.Entry.Key].Version)
 			r.entries[event.Entry.Key] = event.Entry
 		}
+		r.events = append(r.events, event)
 		applied = append(applied, event)
 	}
-	r.events = append(r.events, applied...)
 	if len(r.events) > maxEvents {
 		dropped := len(r.events) / 2
 		r.oldest = r.events[dropped-1].Entry.Version
@@ -78,6 +81,18 @@
 	return applied
 }
 
+// dropEventLocked removes the write of a key at a version from the stored changes, if it is there: a later write of the key replaces it
+// for all who need the earlier one. A follower that is behind gets each key's newest value only.
+func (r *Replica) dropEventLocked(key string, version uint64) {
+	first := sort.Search(len(r.events), func(i int) bool { return r.events[i].Entry.Version >= version })
+	for i := first; i < len(r.events) && r.events[i].Entry.Version == version; i++ {
+		if r.events[i].Entry.Key == key && !r.events[i].Deleted {
+			r.events = slices.Delete(r.events, i, i+1)
+			return
+		}
+	}
+}
+
 // Get returns the entry of a key; its version is zero if the key does not exist.
 func (r *Replica) Get(key string) pollenstore.Entry {
 	r.mu.Lock()
--- a/pollen/pollenreplica/replica_test.go
+++ b/pollen/pollenreplica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,43 @@
 	})
 }
 
+// Guards against followers that get large values which were replaced before they asked, and against lost changes.
+func TestWatchSkipsReplacedValues(t *testing.T) {
+	deleted := func(key string, version uint64) pollenstore.Event {
+		return pollenstore.Event{Entry: pollenstore.Entry{Key: key, Version: version}, Deleted: true}
+	}
+	tests := []struct {
+		name   string
+		events []pollenstore.Event
+		want   []pollenstore.Event
+	}{
+		{"replaced", []pollenstore.Event{put("a", "1", 2), put("a", "2", 3)}, []pollenstore.Event{put("a", "2", 3)}},
+		{"other keys stay in order", []pollenstore.Event{put("a", "1", 2), put("b", "1", 3), put("a", "2", 4)}, []pollenstore.Event{put("b", "1", 3), put("a", "2", 4)}},
+		{"written in one step", []pollenstore.Event{put("a", "1", 2), put("b", "1", 2), put("b", "2", 3)}, []pollenstore.Event{put("a", "1", 2), put("b", "2", 3)}},
+		{
+			"deleted between", []pollenstore.Event{put("a", "1", 2), deleted("a", 3), put("a", "2", 4), put("a", "3", 5)},
+			[]pollenstore.Event{put("a", "1", 2), deleted("a", 3), put("a", "3", 5)},
+		},
+		{"listed before", []pollenstore.Event{put("listed", "2", 2)}, []pollenstore.Event{put("listed", "2", 2)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := New()
+			r.Reset(pollenstore.Listing{Revision: 1, Entries: []pollenstore.Entry{put("listed", "1", 1).Entry}})
+			for _, event := range test.events {
+				r.Apply(pollenstore.Changes{Revision: event.Entry.Version, Events: slices.DeleteFunc(slices.Clone(test.events), func(e pollenstore.Event) bool {
+					return e.Entry.Version != event.Entry.Version
+				})})
+			}
+			changes, err := r.Watch(t.Context(), pollenstore.Position{Revision: 1}, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(changes.Events, qt.DeepEquals, test.want)
+			c.Assert(changes.Revision, qt.Equals, test.events[len(test.events)-1].Entry.Version)
+		})
+	}
+}
+
 // TestWatchAfterCompactedRevisionFails guards against a watch that silently skips changes which were dropped.
 func TestWatchAfterCompactedRevisionFails(t *testing.T) {
 	r := New()
