Relay: send large values compressed

A watcher serves callers on the link over which its followers fetch the configuration.

Values of 4 KB and more are compressed (flate), once for all followers, for callers that state that they understand it; beside a former build they are sent as they are.

--- a/pollen/pollenrelay/large_test.go
+++ b/pollen/pollenrelay/large_test.go
@@ -201,7 +201,7 @@
 
 // The link speeds are those of the deployment on which the fault was seen.
 const (
-	storeMegabits, watcherMegabits, followerMegabits = 1000, 200, 17
+	storeMegabits, largeMegabits, smallMegabits = 1000, 200, 17
 
 	configurationDelay = 5 * time.Second
 	storePause         = 400 * time.Millisecond
@@ -209,7 +209,7 @@
 )
 
 // newRelayFleet starts a fleet that runs until ctx is done.
-func newRelayFleet(ctx context.Context, zones, followersPerZone int) *relayFleet {
+func newRelayFleet(ctx context.Context, zones, followersPerZone int, watcherMegabits float64) *relayFleet {
 	f := &relayFleet{store: pollenreplica.New(), storeLink: newLink(storeMegabits)}
 	f.store.Reset(pollenstore.Listing{Revision: 1, Entries: []pollenstore.Entry{{Key: "first", Version: 1}}})
 	listeners := make(map[netip.AddrPort]*pipeListener)
@@ -235,7 +235,7 @@
 	}()
 	for zone := range zones {
 		for i := range followersPerZone {
-			own := newLink(followerMegabits)
+			own := newLink(smallMegabits)
 			source := NewSource(SourceConfig{
 				Store: &linkedStore{replica: f.store, links: []*link{f.storeLink, own}}, Server: NewServer(ServerConfig{}),
 				Self: pollencatalog.Instance{Name: fmt.Sprintf("%d-%d", zone, i)}, Standby: func() bool { return true },
@@ -303,17 +303,18 @@
 	tests := []struct {
 		name                    string
 		zones, followersPerZone int
+		watcherMegabits         float64
 		routes                  int
 	}{
-		{"1500 routes of 120 instances", 3, 39, 1500},
-		{"4250 routes of 120 instances", 3, 39, 4250},
-		{"4250 routes of 300 instances", 5, 59, 4250},
+		{"1500 routes of 120 instances", 3, 39, largeMegabits, 1500},
+		{"4250 routes of 120 instances", 3, 39, largeMegabits, 4250},
+		{"4250 routes of 300 instances", 5, 59, largeMegabits, 4250},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				f := newRelayFleet(ctx, test.zones, test.followersPerZone)
+				f := newRelayFleet(ctx, test.zones, test.followersPerZone, test.watcherMegabits)
 				time.Sleep(10 * time.Second)
 				firstAt, first := time.Now(), f.write(encodedRoutes(test.routes, 1))
 				time.Sleep(3300 * time.Millisecond)
--- a/pollen/pollenrelay/peer.go
+++ b/pollen/pollenrelay/peer.go
@@ -54,7 +54,14 @@
 	if errors.As(err, &timeout) && timeout.Received > 0 {
 		AbandonedReplies.Inc()
 	}
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	if err := reply.unpack(); err != nil {
+		p.close()
+		return nil, err
+	}
+	return reply, nil
 }
 
 // call calls a method over the connection to address. The connection is closed if the call fails, but for an *UnsupportedError.
--- a/pollen/pollenrelay/seeds.go
+++ b/pollen/pollenrelay/seeds.go
@@ -101,7 +101,7 @@
 	conn := peerConn{dial: s.config.Dial}
 	defer conn.close()
 	limits := pollenprogress.Limits{First: s.config.Timeout, Silence: s.config.Timeout, Total: s.config.Timeout + s.config.TransferTimeout}
-	reply, err := conn.fetch(ctx, address, limits, methodListKnown, ListRequest{})
+	reply, err := conn.fetch(ctx, address, limits, methodListKnown, ListRequest{Unpacks: true})
 	if err != nil {
 		return pollenstore.Listing{}, err
 	}
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -19,8 +19,11 @@
 	"pollenline.example/pollen/pollensuspect"
 )
 
-// ListRequest is the argument of Relay.List, which returns all keys.
-type ListRequest struct{}
+// ListRequest is the argument of Relay.List and Relay.ListKnown, which return all keys.
+type ListRequest struct {
+	// Unpacks is set if the caller understands Reply.PackedValues.
+	Unpacks bool
+}
 
 // WatchRequest is the argument of Relay.Watch, which waits for events after a revision.
 type WatchRequest struct {
@@ -35,6 +38,8 @@
 	Wait time.Duration
 	// SuspectsVersion is the version of the watcher's evidence that the follower has.
 	SuspectsVersion uint64
+	// Unpacks is set if the follower understands Reply.PackedValues.
+	Unpacks bool
 }
 
 // SuspectsRequest is the argument of Relay.ShareSuspects, which exchanges the evidence of two instances.
@@ -63,6 +68,8 @@
 	Usage pollenallowance.Message
 	// Rulings holds a ruling for each report on a rollout.
 	Rulings []pollenrollout.Ruling
+	// PackedValues holds the large values of Listing and Changes.
+	PackedValues []PackedValue
 }
 
 // unusable reports whether a reply must not be used: it is stale, or of an instance that has not read any keys yet.
@@ -86,6 +93,7 @@
 type Server struct {
 	config  ServerConfig
 	replica *pollenreplica.Replica
+	packer  *packer
 
 	mu sync.Mutex
 	// lastContact is when the store last answered; zero if its last call failed.
@@ -106,7 +114,7 @@
 	if config.Suspects == nil {
 		config.Suspects = pollensuspect.New(pollensuspect.Config{})
 	}
-	return &Server{config: config, replica: pollenreplica.New(), followers: make(map[string]follower)}
+	return &Server{config: config, replica: pollenreplica.New(), packer: newPacker(), followers: make(map[string]follower)}
 }
 
 // SetLastContact sets when the store itself last answered; a zero time makes the replica stale.
@@ -194,22 +202,31 @@
 	return rank, standbys
 }
 
+// packFor compresses a reply's large values if the caller understands that.
+func (s *Server) packFor(unpacks bool, reply *Reply) {
+	if unpacks {
+		s.packer.pack(reply)
+	}
+}
+
 // service holds the methods that net/rpc calls.
 type service struct {
 	server *Server
 }
 
 // List returns all keys of the replica.
-func (s *service) List(_ ListRequest, reply *Reply) error {
+func (s *service) List(request ListRequest, reply *Reply) error {
 	if reply.Stale = s.server.stale(); !reply.Stale {
 		reply.Listing = s.server.replica.List("")
+		s.server.packFor(request.Unpacks, reply)
 	}
 	return nil
 }
 
 // ListKnown returns all keys of the replica, even if it is stale; its revision is 0 if the replica was never filled.
-func (s *service) ListKnown(_ ListRequest, reply *Reply) error {
+func (s *service) ListKnown(request ListRequest, reply *Reply) error {
 	reply.Listing, reply.Stale = s.server.replica.List(""), s.server.stale()
+	s.server.packFor(request.Unpacks, reply)
 	reply.Suspects = s.server.config.Suspects.Message(time.Now())
 	return nil
 }
@@ -261,5 +278,6 @@
 		return nil
 	}
 	reply.Changes, reply.Stale = changes, s.server.stale()
+	s.server.packFor(request.Unpacks, reply)
 	return err
 }
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -121,7 +121,7 @@
 	if !ok {
 		return pollenstore.Changes{}, false
 	}
-	reply, err := s.watcher.fetch(ctx, address, s.limits(0), methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era})
+	reply, err := s.watcher.fetch(ctx, address, s.limits(0), methodWatch, WatchRequest{Follower: s.config.Self, Standby: true, After: listing.Revision, Era: listing.Era, Unpacks: true})
 	if err == nil {
 		s.mergeSuspects(reply)
 	}
@@ -134,7 +134,7 @@
 
 // List returns all keys from the watcher, or those under a prefix from the store.
 func (s *Source) List(ctx context.Context, prefix string) (pollenstore.Listing, error) {
-	reply, ok := s.callWatcher(ctx, methodList, ListRequest{})
+	reply, ok := s.callWatcher(ctx, methodList, ListRequest{Unpacks: true})
 	if ok {
 		return reply.Listing, nil
 	}
@@ -150,7 +150,7 @@
 	s.newest = s.newest.Advance(after)
 	request := WatchRequest{
 		Follower: s.config.Self, Standby: s.config.Standby(), After: after.Revision, Era: after.Era, Wait: min(wait, s.config.WatchWait),
-		SuspectsVersion: s.suspectsVersion,
+		SuspectsVersion: s.suspectsVersion, Unpacks: true,
 	}
 	reply, ok := s.callWatcher(ctx, methodWatch, request)
 	switch {
