Relay: bound a reply from its first byte, and seeds by the first that answers

Where only small instances watch the store, a version of 4,250 routes takes 2.3 s of their links of 17 Mbit/s, compressed. Calls that had begun some time before the change had less than that left, gave up, and the last of 120 instances had the next version 4.88 s after the watchers (4.6 s wanted). The bound now counts from the reply's first byte, half of the configuration delay: 2.3 s for both versions.

Seeds are asked beside each other; once one has answered, the others are waited for as long as a seed may be silent, 500 ms as before.

--- a/pollen/pollenprogress/transfer.go
+++ b/pollen/pollenprogress/transfer.go
@@ -16,7 +16,7 @@
 	First time.Duration
 	// Silence is how long no further byte may arrive.
 	Silence time.Duration
-	// Total bounds the whole transfer: one that trickles is better made elsewhere.
+	// Total bounds the time from the first byte to the last: what trickles is better fetched elsewhere.
 	Total time.Duration
 }
 
@@ -44,7 +44,9 @@
 	mu       sync.Mutex
 	timer    *time.Timer
 	received int64
-	ended    bool
+	// firstAt is when the first bytes arrived.
+	firstAt time.Time
+	ended   bool
 }
 
 // Start begins a transfer and returns a context that is done when the limits end it, with a *TimeoutError as the cause, or when End is
@@ -55,7 +57,7 @@
 	t := &Transfer{limits: limits, start: time.Now(), cancel: cancel, notice: notice}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(min(limits.First, limits.Total), t.timeOut)
+	t.timer = time.AfterFunc(limits.First, t.timeOut)
 	return ctx, t
 }
 
@@ -66,9 +68,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.firstAt.IsZero() {
+		t.firstAt = time.Now()
+	}
 	t.received += int64(bytes)
 	if !t.ended {
-		t.timer.Reset(min(t.limits.Silence, t.limits.Total-time.Since(t.start)))
+		t.timer.Reset(min(t.limits.Silence, t.limits.Total-time.Since(t.firstAt)))
 	}
 }
 
--- a/pollen/pollenrelay/seeds.go
+++ b/pollen/pollenrelay/seeds.go
@@ -19,9 +19,9 @@
 type SeedsConfig struct {
 	// Addresses are the peer addresses of a few instances, some of which may be gone.
 	Addresses []netip.AddrPort
-	// Timeout is how long each of them may be silent.
+	// Timeout is how long each of them may be silent, and how long the others are waited for once one has answered.
 	Timeout time.Duration
-	// TransferTimeout is how much longer a reply may take that goes on arriving.
+	// TransferTimeout is how long a reply may take from its first byte to its last.
 	TransferTimeout time.Duration
 	// Dial connects to a peer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
@@ -69,6 +69,8 @@
 // Load pattern: instances restart while the store is down or unreachable. The others still serve from what they know, and
 // so can an instance that asks them.
 func (s *Seeds) List(ctx context.Context) (pollenstore.Listing, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	type result struct {
 		listing pollenstore.Listing
 		err     error
@@ -85,6 +87,9 @@
 	for range s.config.Addresses {
 		r := <-results
 		errs = errors.Join(errs, r.err)
+		if r.err == nil {
+			time.AfterFunc(s.config.Timeout, cancel)
+		}
 		if r.listing.Position().Newer(newest.Position()) {
 			newest = r.listing
 		}
@@ -100,7 +105,7 @@
 func (s *Seeds) listFrom(ctx context.Context, address netip.AddrPort) (pollenstore.Listing, error) {
 	conn := peerConn{dial: s.config.Dial}
 	defer conn.close()
-	limits := pollenprogress.Limits{First: s.config.Timeout, Silence: s.config.Timeout, Total: s.config.Timeout + s.config.TransferTimeout}
+	limits := pollenprogress.Limits{First: s.config.Timeout, Silence: s.config.Timeout, Total: s.config.TransferTimeout}
 	reply, err := conn.fetch(ctx, address, limits, methodListKnown, ListRequest{Unpacks: true})
 	if err != nil {
 		return pollenstore.Listing{}, err
--- a/pollen/pollenrelay/source.go
+++ b/pollen/pollenrelay/source.go
@@ -49,7 +49,7 @@
 	WatchWait time.Duration
 	// WatchSlack is how long after WatchWait the watcher may answer before it counts as unresponsive, and how long its reply may stall.
 	WatchSlack time.Duration
-	// TransferTimeout is how much longer a reply may take that goes on arriving.
+	// TransferTimeout is how long a reply may take from its first byte to its last.
 	TransferTimeout time.Duration
 	// Dial connects to a peer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
@@ -213,7 +213,7 @@
 // limits returns the limits of a call that an instance may hold for wait.
 func (s *Source) limits(wait time.Duration) pollenprogress.Limits {
 	first := wait + s.config.WatchSlack
-	return pollenprogress.Limits{First: first, Silence: s.config.WatchSlack, Total: first + s.config.TransferTimeout}
+	return pollenprogress.Limits{First: first, Silence: s.config.WatchSlack, Total: s.config.TransferTimeout}
 }
 
 // mayCallStore reports whether an instance on standby may call the store now, although all watchers have lost it or don't answer.
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -149,9 +149,9 @@
 	// Followers of a watcher use shorter watches, so that they add little to the watcher's delay.
 	peerWaitShare  = 0.15
 	peerSlackShare = 0.1
-	// transferShare is how much longer a reply may take that goes on arriving: followers of one watcher share its link. After it,
+	// transferShare is how long a reply may take from its first byte to its last: followers of one watcher share its link. After it,
 	// another watcher can still be asked in time.
-	transferShare = 0.3
+	transferShare = 0.5
 	// standbyRetryShare is the longest time between two calls of a store that does not answer by an instance on standby: with
 	// the watch after it, a store that only the watchers can't reach is still read in time.
 	standbyRetryShare = 0.5
