Store client: an answer that goes on arriving is read to its end

Answers are bounded by their progress, too. TestSlowAnswersAreRead: an answer that takes 500 ms with a timeout of 200 ms fails before; the stalled one ended before as well, with another error.

--- a/pollen/pollenprogress/transfer.go
+++ b/pollen/pollenprogress/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 )
@@ -31,6 +32,9 @@
 	return fmt.Sprintf("transfer not complete after %v and %d bytes", e.Waited, e.Received)
 }
 
+// Unwrap returns context.DeadlineExceeded.
+func (e *TimeoutError) Unwrap() error { return context.DeadlineExceeded }
+
 // Timeout reports that the error is a timeout, as in net.Error.
 func (e *TimeoutError) Timeout() bool { return true }
 
@@ -61,7 +65,7 @@
 	return ctx, t
 }
 
-// Add records bytes that have arrived.
+// Add records bytes that have arrived; none stands for a sign of life without any.
 func (t *Transfer) Add(bytes int) {
 	if t.notice != nil {
 		t.notice()
@@ -77,6 +81,23 @@
 	}
 }
 
+// Reader returns a reader that records what is read from source.
+func (t *Transfer) Reader(source io.Reader) io.Reader { return &reader{transfer: t, source: source} }
+
+type reader struct {
+	transfer *Transfer
+	source   io.Reader
+}
+
+// Read implements io.Reader.
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if n > 0 {
+		r.transfer.Add(n)
+	}
+	return n, err
+}
+
 // End ends the transfer; bytes that arrive later have no effect.
 func (t *Transfer) End() {
 	t.mu.Lock()
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -202,7 +202,7 @@
 	})
 	store := pollenplatform.NewStore(pollenplatform.StoreConfig{
 		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAliveConfig,
-		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare),
+		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare), TransferTimeout: scale(settings.ConfigurationDelay, transferShare),
 	})
 	relayConfig := pollenrelay.ServerConfig{
 		MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances,
