Startup: no further calls of the store while an answer arrives

An instance that starts calls the store again every 400 ms, as it may be silent, and asks the seeds.

TestStartupMakesNoCallsBesideArrivingListing fails before.

--- a/pollen/pollenfollow/follow_test.go
+++ b/pollen/pollenfollow/follow_test.go
@@ -7,12 +7,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"pollenline.example/pollen/pollenprogress"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollenview"
 )
@@ -279,6 +281,43 @@
 	}
 }
 
+// arrivingStore sends a listing of so many seconds, and counts the calls.
+type arrivingStore struct {
+	silentStore
+	seconds int
+	calls   atomic.Int32
+}
+
+func (a *arrivingStore) ListStale(ctx context.Context, _ string) (pollenstore.Listing, error) {
+	a.calls.Add(1)
+	ctx, transfer := pollenprogress.Start(ctx, pollenprogress.Limits{First: time.Second, Silence: time.Second, Total: time.Minute})
+	defer transfer.End()
+	for range a.seconds * 10 {
+		select {
+		case <-time.After(100 * time.Millisecond):
+			transfer.Add(1)
+		case <-ctx.Done():
+			return pollenstore.Listing{}, context.Cause(ctx)
+		}
+	}
+	return pollenstore.Listing{Revision: 5}, nil
+}
+
+// Load pattern: all instances start at once and share the store's link. Further calls beside an answer that is arriving would delay it.
+func TestStartupMakesNoCallsBesideArrivingListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &arrivingStore{seconds: 3}
+		messages := make(chan string, 100)
+		f := NewFollower(FollowerConfig{Reader: store, Seeds: seedRevision(7), WatchWait: time.Second, Post: func(m any) { messages <- messageKind(m) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		qt.Check(t, <-messages, qt.Equals, "listed")
+		qt.Check(t, store.calls.Load(), qt.Equals, int32(1))
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // noWatcher is the part of a Reader whose listings name no instance that follows the store.
 type noWatcher struct{}
 
--- a/pollen/pollenfollow/startup.go
+++ b/pollen/pollenfollow/startup.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollenprogress"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollenview"
 )
@@ -75,17 +77,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := time.Now()
+	// While an answer arrives, further calls would only take from its bandwidth.
+	var answering atomic.Bool
+	storeCtx := pollenprogress.WithNotice(ctx, func() { answering.Store(true) })
 	storeResults := make(chan storeResult, maxStartupCalls)
 	seedResults := make(chan pollenview.StoreListed, 1)
 	askingSeeds := false
 	ticker := time.NewTicker(startupCallInterval)
 	defer ticker.Stop()
 	waiting := 1
-	go f.callListStale(ctx, storeResults)
+	go f.callListStale(storeCtx, storeResults)
 	for {
 		select {
 		case r := <-storeResults:
 			waiting--
+			answering.Store(false)
 			if r.err == nil {
 				return pollenview.StoreListed{Listing: r.listing}, nil
 			}
@@ -98,9 +104,12 @@
 				return listed, nil
 			}
 		case <-ticker.C:
+			if answering.Load() {
+				continue
+			}
 			if waiting < maxStartupCalls {
 				waiting++
-				go f.callListStale(ctx, storeResults)
+				go f.callListStale(storeCtx, storeResults)
 			}
 			if !askingSeeds {
 				askingSeeds = true
