--- a/pollen/pollenrelay/large_test.go
+++ b/pollen/pollenrelay/large_test.go
@@ -334,3 +334,36 @@
 		})
 	}
 }
+
+// Load pattern: an instance starts while the store is away, and asks three seeds at once for more than its link carries in the time for
+// which a seed may be silent.
+func TestLargeListingsOfSeedsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		incompressible := make([]byte, 800<<10)
+		rand.NewChaCha8([32]byte{}).Read(incompressible)
+		own := newLink(smallMegabits)
+		config := SeedsConfig{Timeout: 500 * time.Millisecond, TransferTimeout: configurationDelay / 2}
+		listeners := make(map[netip.AddrPort]*pipeListener)
+		for i := range 3 {
+			seed := NewServer(ServerConfig{})
+			seed.Reset(pollenstore.Listing{Revision: uint64(7 + i), Entries: []pollenstore.Entry{{Key: configurationKey, Value: incompressible, Version: 7}}})
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8106)
+			listeners[address] = &pipeListener{conns: make(chan net.Conn)}
+			go seed.Serve(listeners[address])
+			config.Addresses = append(config.Addresses, address)
+		}
+		config.Dial = func(_ context.Context, address netip.AddrPort) (net.Conn, error) {
+			client, server := net.Pipe()
+			listeners[address].conns <- &linkedConn{Conn: server, links: []*link{own}}
+			return client, nil
+		}
+		listing, err := NewSeeds(config).List(t.Context())
+		c.Check(err, qt.IsNil)
+		c.Check(listing.Revision, qt.Equals, uint64(9))
+		for _, listener := range listeners {
+			listener.Close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
