Instances tell each other which requests they have refused

Refusals for other reasons are not told. Repeats that outrun the message count as first tries, as before.

A build that does not know the call is told nothing.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -75,6 +75,7 @@
 	}
 	return &RefusedError{
 		Cause:      fmt.Sprintf("servers of too few services have room, %d of %d needed", c.requiredAnswers(), len(c.subrequests)),
+		Overloaded: true,
 		RetryAfter: c.retryAfter(time.Now()),
 	}
 }
--- a/pollen/pollenforward/callerretry.go
+++ b/pollen/pollenforward/callerretry.go
@@ -19,6 +19,32 @@
 	refused map[pollensuspect.Fingerprint]time.Time
 }
 
+// RefusalObserver learns which requests were refused and which were repeated, to tell other instances; it must not block.
+//
+// Load pattern: callers repeat a refused request at once, each time at another instance. An instance that does not know of the refusal
+// takes the repeat for a first try, and first tries get a small part of the slots.
+type RefusalObserver interface {
+	// ObserveRefusal is called when a request was refused for want of capacity, whose caller may repeat the content until a time.
+	ObserveRefusal(content pollensuspect.Fingerprint, until time.Time)
+	// ObserveRepeat is called when a request was taken for the repetition of a refused one.
+	ObserveRepeat(content pollensuspect.Fingerprint)
+}
+
+// ignoredRefusals is a RefusalObserver that does nothing.
+type ignoredRefusals struct{}
+
+func (ignoredRefusals) ObserveRefusal(pollensuspect.Fingerprint, time.Time) {}
+func (ignoredRefusals) ObserveRepeat(pollensuspect.Fingerprint)             {}
+
+// RecordRefusal records that another instance has refused a request of a content, whose caller may repeat it until a time.
+func (f *Forwarder) RecordRefusal(content pollensuspect.Fingerprint, until time.Time) {
+	f.callerRetries.recordRefusal(content, until, time.Now())
+}
+
+// RecordRepeat records that a refused request was repeated at another instance. The content may be that of many callers: one refusal
+// must not make later requests of all of them count as repetitions.
+func (f *Forwarder) RecordRepeat(content pollensuspect.Fingerprint) { f.callerRetries.forget(content) }
+
 // maxRefusedContents bounds the memory for refused contents to about half a megabyte.
 const maxRefusedContents = 10_000
 
@@ -51,6 +77,13 @@
 	return ok && now.Before(until)
 }
 
+// forget forgets that a content was refused.
+func (d *callerRetryDetector) forget(content pollensuspect.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.refused, content)
+}
+
 // timeoutWindow holds the longest caller timeouts of the current and the previous period.
 type timeoutWindow struct {
 	start             time.Time
--- a/pollen/pollenforward/collapse_test.go
+++ b/pollen/pollenforward/collapse_test.go
@@ -81,6 +81,8 @@
 	counted time.Time
 	// firstServed counts first tries that were answered; calls numbers the callers' requests.
 	firstServed, calls int
+	// popularSent and popularServed count the callers' requests of the popular content.
+	popularSent, popularServed int
 }
 
 func (f *collapseFleet) ConnectionAvailable(*pollencatalog.Server, int) bool { return true }
@@ -213,12 +215,39 @@
 			CallerRoundTrip: 2 * time.Millisecond, LateAnswerTimeout: 300 * time.Millisecond,
 			Budget:   pollenbudget.New(pollenbudget.Config{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}),
 			Table:    func() *pollencatalog.Table { return f.table },
-			Splitter: &Splitter{},
+			Splitter: &Splitter{}, Refusals: &delayedObserver{fleet: f, sender: i},
 		}))
 	}
 	return f
 }
 
+// delayedObserver tells the other instances of refusals and repeats after observeDelay.
+type delayedObserver struct {
+	fleet  *collapseFleet
+	sender int
+}
+
+// observeDelay is less than the five milliseconds after which callers' immediate repeats arrive.
+const observeDelay = 4 * time.Millisecond
+
+func (d *delayedObserver) ObserveRefusal(content pollensuspect.Fingerprint, until time.Time) {
+	d.tell(func(f *Forwarder) { f.RecordRefusal(content, until) })
+}
+
+func (d *delayedObserver) ObserveRepeat(content pollensuspect.Fingerprint) {
+	d.tell(func(f *Forwarder) { f.RecordRepeat(content) })
+}
+
+func (d *delayedObserver) tell(message func(f *Forwarder)) {
+	time.AfterFunc(observeDelay, func() {
+		for i, f := range d.fleet.forwarders {
+			if i != d.sender {
+				message(f)
+			}
+		}
+	})
+}
+
 func collapseRoute(shards int, name string, priority int, objective, timeout time.Duration, coverage float64) *pollencatalog.Route {
 	r := shardedRoute(shards)
 	r.Name, r.Priority, r.Objective, r.Timeout, r.MinimumCoverage = name, priority, objective, timeout, coverage
@@ -261,6 +290,8 @@
 	stays bool
 	// team chooses the team of a request; nil if there are no teams.
 	team func(random *rand.Rand) *pollencatalog.Team
+	// popularEvery is how many requests there are for each one of the same content; zero if all have contents of their own.
+	popularEvery int
 }
 
 // instance returns which of its instances a caller's try is sent to.
@@ -298,6 +329,11 @@
 	f.mu.Lock()
 	f.calls++
 	content := pollensuspect.Fingerprint{1, byte(f.calls), byte(f.calls >> 8), byte(f.calls >> 16)}
+	popular := load.popularEvery > 0 && f.calls%load.popularEvery == 0
+	if popular {
+		content = pollensuspect.Fingerprint{2}
+		f.popularSent++
+	}
 	f.mu.Unlock()
 	var stats *Stats
 	var err error
@@ -326,6 +362,11 @@
 		time.Sleep(wait)
 	}
 	f.count(kind, team, start, start, stats, err, true)
+	if popular && err == nil {
+		f.mu.Lock()
+		f.popularServed++
+		f.mu.Unlock()
+	}
 }
 
 // count counts the outcome of a try, and of the caller's request if it was the last one.
@@ -517,6 +558,20 @@
 	}
 }
 
+// Load pattern: many callers send requests of the same content, and repeat refused ones at once. Guards against a content that is starved
+// because a refusal at one instance makes later requests at all of them count as repetitions.
+func TestPopularContentIsServedLikeOthers(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		f := newCollapseFleet(collapseConfig{seed: 2, shards: 6})
+		f.send(t, 3, collapseLoad{perSecond: 1.5 * f.capacity(), duration: 4 * time.Second, immediate: true, repeats: 8, popularEvery: 4})
+		total := f.total()
+		counts := qt.Commentf("%d of %d popular ones served; all %+v", f.popularServed, f.popularSent, total)
+		t.Log(counts)
+		// No kind of request is served less than a quarter as often as all.
+		qt.Check(t, 4*f.popularServed*total.sent >= (total.inTime+total.late)*f.popularSent, qt.IsTrue, counts)
+	})
+}
+
 // Load pattern: callers leave while their queries wait in the queue or run. Guards against requests that stay in the queue and servers
 // that go on with work that nobody awaits.
 func TestLeftCallersFreeQueueAndServers(t *testing.T) {
--- a/pollen/pollenforward/forward.go
+++ b/pollen/pollenforward/forward.go
@@ -32,6 +32,8 @@
 	Rollouts *pollenrollout.Router
 	// Suspects decides which requests are held back because servers end under them; if it is nil, the Forwarder has its own.
 	Suspects *pollensuspect.Registry
+	// Refusals tells the other instances which requests this one has refused; if it is nil, they are not told.
+	Refusals RefusalObserver
 	// Reach tells whether this instance reaches the servers; if it is nil, it does.
 	Reach *pollenreach.Tracker
 	// Passer passes requests on to other instances while this one does not reach the servers; if it is nil, none are. Others
@@ -85,6 +87,9 @@
 	if config.Drain == nil {
 		config.Drain = pollendrain.New()
 	}
+	if config.Refusals == nil {
+		config.Refusals = ignoredRefusals{}
+	}
 	return &Forwarder{config: config, started: time.Now()}
 }
 
@@ -121,6 +126,9 @@
 		results:      make(chan result, len(services)*(route.Attempts+extraSends)),
 	}
 	repeated := f.callerRetries.repeatsRefused(request.Content, request.Received)
+	if repeated {
+		f.config.Refusals.ObserveRepeat(request.Content)
+	}
 	c.callerRetry = c.callerRetry || (repeated && !request.Passed)
 	for i, service := range services {
 		c.subrequests[i].service = service
@@ -135,6 +143,9 @@
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		f.callerRetries.recordRefusal(request.Content, c.schedule.End, time.Now())
+		if refused.Overloaded && request.Content != (pollensuspect.Fingerprint{}) {
+			f.config.Refusals.ObserveRefusal(request.Content, c.schedule.End)
+		}
 	}
 	return reply, c.stats, err
 }
--- a/pollen/pollenforward/message.go
+++ b/pollen/pollenforward/message.go
@@ -234,6 +234,8 @@
 	Cause string
 	// Unreached is set if this instance reaches too few servers; another one may reach them.
 	Unreached bool
+	// Overloaded is set if the servers lack capacity; at another instance the request would compete for the same slots.
+	Overloaded bool
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter time.Duration
 }
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -85,6 +85,8 @@
 	Suspects *pollensuspect.Registry
 	// Allowances holds the use of limited teams; if it is nil, there are none.
 	Allowances *pollenallowance.Allowances
+	// Refusals takes what other instances have refused; if it is nil, the instance takes no part in that.
+	Refusals RefusalReceiver
 	// ReceiveRollout takes a report on a rollout; it is nil if the instance takes part in none.
 	ReceiveRollout func(report pollenrollout.Report, now time.Time) pollenrollout.Ruling
 }
@@ -167,6 +169,7 @@
 	methodSuspects  = serviceName + ".ShareSuspects"
 	methodUsage     = serviceName + ".ShareUsage"
 	methodRollouts  = serviceName + ".ReportRollouts"
+	methodRefusals  = serviceName + ".ShareRefusals"
 	// acceptRetryDelay keeps a failing listener from using the whole processor.
 	acceptRetryDelay = 50 * time.Millisecond
 )
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -74,8 +74,10 @@
 	probeDialer *net.Dialer
 	forwarder   *pollenforward.Forwarder
 	// probing is set during a round of probes.
-	probing   atomic.Bool
-	sharer    *pollenrelay.Sharer
+	probing atomic.Bool
+	sharer  *pollenrelay.Sharer
+	// refusals tells the other instances which requests this one has refused for want of capacity.
+	refusals  *pollenrelay.RefusalSharer
 	registrar *pollenfollow.Registrar
 	follower  *pollenfollow.Follower
 	metrics   *metrics
@@ -122,7 +124,7 @@
 	departedRetention = 15 * time.Second
 	// seedTimeout is how long an instance that is asked for the keys at startup, as the store does not answer, may be silent.
 	seedTimeout = 500 * time.Millisecond
-	// shareTimeout bounds an exchange of evidence against requests, or of the use of teams, with another instance.
+	// shareTimeout bounds an exchange of evidence against requests, of refusals or of the use of teams with another instance.
 	shareTimeout = 500 * time.Millisecond
 	// peerIdleTimeout is how long connections over which requests are passed on are kept, peerConnections how many there are to
 	// one instance at most.
@@ -205,7 +207,7 @@
 		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare), TransferTimeout: scale(settings.ConfigurationDelay, transferShare),
 	})
 	relayConfig := pollenrelay.ServerConfig{
-		MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances,
+		MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances, Refusals: &refusalReceiver{f},
 	}
 	if settings.RolloutShare > 0 {
 		f.newRollouts(settings, store)
@@ -222,6 +224,7 @@
 	f.relay = pollenrelay.NewServer(relayConfig)
 	f.sharer = pollenrelay.NewSharer(pollenrelay.SharerConfig{Suspects: f.suspects, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.reporter = pollenrelay.NewReporter(pollenrelay.ReporterConfig{Allowances: f.allowances, Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
+	f.refusals = pollenrelay.NewRefusalSharer(pollenrelay.RefusalSharerConfig{Peers: f.otherInstances, Timeout: shareTimeout, Dial: dialPeer})
 	f.settings.Store(settings)
 	debug.SetGCPercent(settings.CollectionPercent)
 	if settings.MemoryMegabytes > 0 {
@@ -265,6 +268,19 @@
 	return f, nil
 }
 
+// refusalReceiver hands what other instances have refused to the forwarder, which is there before the relay serves.
+type refusalReceiver struct{ frontend *Frontend }
+
+// RecordRefusal implements pollenrelay.RefusalReceiver.
+func (r *refusalReceiver) RecordRefusal(content pollensuspect.Fingerprint, until time.Time) {
+	r.frontend.forwarder.RecordRefusal(content, until)
+}
+
+// RecordRepeat implements pollenrelay.RefusalReceiver.
+func (r *refusalReceiver) RecordRepeat(content pollensuspect.Fingerprint) {
+	r.frontend.forwarder.RecordRepeat(content)
+}
+
 func (f *Frontend) newIngress() http.Handler {
 	f.exchanger = pollenplatform.NewExchanger(pollenplatform.ExchangerConfig{Pool: f.pool, MaxAnswerBytes: maxAnswerBytes})
 	f.forwarder = pollenforward.New(pollenforward.Config{
@@ -279,6 +295,7 @@
 		Gate:                  f.gate,
 		Rollouts:              f.rollouts,
 		Suspects:              f.suspects,
+		Refusals:              f.refusals,
 		Budget:                f.retryBudget,
 		Drain:                 f.drain,
 		Table:                 f.view.Table,
@@ -320,6 +337,7 @@
 	go f.follower.Run(backgroundCtx)
 	go f.sharer.Run(backgroundCtx)
 	go f.reporter.Run(backgroundCtx)
+	go f.refusals.Run(backgroundCtx)
 	go f.runTicker(backgroundCtx)
 	go func() {
 		defer close(unregistered)
