A server that sheds shows the load of other instances

A server that has shed counts as fully used for 100 ms, over the mean of the servers of a query, so that a single one changes nothing. TestShedsShowLoadOfOthers fails before.

--- a/pollen/pollenrank/load.go
+++ b/pollen/pollenrank/load.go
@@ -18,6 +18,8 @@
 	// highUtilization it counts in full.
 	lowUtilization  = 0.8
 	highUtilization = 1.4
+	// shedPeriod is how long a server that has shed a request counts as fully used; the averages show a burst after that time.
+	shedPeriod = 100 * time.Millisecond
 )
 
 // loadAverages holds moving averages of one instance's load on a server.
@@ -53,6 +55,9 @@
 // utilization returns the estimated number of requests in flight from all instances per slot of the servers that answer.
 //
 // Load pattern: a sixth of the servers accept requests and never answer. What they hold says nothing about the others' slots.
+//
+// Load pattern: a burst reaches all instances after a time of little load. Their averages are low for another 50 to 100 ms, in which each
+// sends as if it were alone, and servers shed what several of them have sent. A server that sheds is fully used, whatever the averages say.
 func (r *Ranking) utilization(servers []*pollencatalog.Server, instances int, now time.Time) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,7 +67,11 @@
 		if s.isSilent(now) || s.isUnavailable(now) {
 			continue
 		}
-		inFlight += s.loadAveragesAt(now).longInFlight
+		load := s.loadAveragesAt(now).longInFlight
+		if now.Sub(s.shedAt) < shedPeriod {
+			load = max(load, highUtilization*float64(max(candidate.Slots, 1))/float64(max(instances, 1)))
+		}
+		inFlight += load
 		slots += max(candidate.Slots, 1)
 	}
 	return inFlight * float64(instances) / float64(max(slots, 1))
--- a/pollen/pollenrank/rank.go
+++ b/pollen/pollenrank/rank.go
@@ -104,6 +104,8 @@
 	// lastSlow; those that one pause delays together count once.
 	slowSamples int
 	lastSlow    time.Time
+	// shedAt is when the server last shed a request.
+	shedAt time.Time
 	// failureRate is the share of recent requests that were shed or failed.
 	failureRate float64
 	// updated is when the estimates were last updated; they decay from then on.
@@ -342,6 +344,7 @@
 		s.consecutiveFailures, s.ejectedUntil, s.lastAnswer = 0, time.Time{}, now
 	case Shed:
 		r.counts.Sheds++
+		s.shedAt = now
 		s.failureRate += sampleWeight * (1 - s.failureRate)
 		s.consecutiveFailures, s.ejectedUntil = 0, time.Time{}
 	case Misdirected:
--- a/pollen/pollenrank/rank_test.go
+++ b/pollen/pollenrank/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -85,6 +86,35 @@
 	}
 }
 
+// Load pattern: a burst reaches all instances after a time of little load, and servers shed. Guards against instances that go on as if
+// they were alone, and against ones that refuse requests because a single server sheds or once the burst is over.
+func TestShedsShowLoadOfOthers(t *testing.T) {
+	tests := []struct {
+		name  string
+		sheds int
+		after time.Duration
+		want  float64
+	}{
+		{"no server", 0, time.Millisecond, 0},
+		{"one of six", 1, time.Millisecond, 0},
+		{"all", 6, time.Millisecond, 5},
+		{"all, some time ago", 6, shedPeriod, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, servers := newRanking(1), newServers(6)
+			for i, s := range servers {
+				if i < test.sheds {
+					r.Start("route", s, start).Finish(Shed, start)
+				}
+			}
+			got := r.OtherSenders(servers, 6, start.Add(test.after))
+			c.Assert(math.Abs(got-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%v other senders", got))
+		})
+	}
+}
+
 // Load pattern: a server fails for ten seconds. It must get only single probes at growing intervals.
 func TestFailingServerIsEjectedAndProbed(t *testing.T) {
 	c := qt.New(t)
