A refusal for want of servers names the services that lack them

The line names up to ten services with the number of their servers by reason, and the rest by their number. Log only; no decision changes. TestRefusalNamesServicesWithoutServers.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math"
+	"strings"
 	"sync"
 	"time"
 
 	"pollenline.example/pollen/pollenadmit"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollengate"
 	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollensuspect"
 )
@@ -80,13 +82,40 @@
 	}
 }
 
-// recordUnavailability records for the log why the call's servers are not available.
+// maxNamedServices bounds the services that the log names for one refused request.
+const maxNamedServices = 10
+
+// recordUnavailability records for the log which of the call's services have no available server, why none of their servers counts, and
+// what a few of those have done.
 func (c *call) recordUnavailability(now time.Time) {
+	var lacking []string
 	var servers []*pollencatalog.Server
 	for i := range c.subrequests {
-		servers = append(servers, c.admittedServers(c.forwarder.config.Table(), c.subrequests[i].service, pollenrollout.Any, now)...)
+		if s := &c.subrequests[i]; !c.hasAvailableServer(s, now) {
+			ofService := c.forwarder.config.Table().ServersOf(s.service)
+			servers = append(servers, ofService...)
+			lacking = append(lacking, s.service+": "+c.countReasons(ofService, now))
+		}
+	}
+	if more := len(lacking) - maxNamedServices; more > 0 {
+		lacking = append(lacking[:maxNamedServices], fmt.Sprintf("and %d more services", more))
+	}
+	c.stats.Evidence = strings.Join(lacking, "; ")
+	if seen := c.forwarder.config.Ranking.Unavailability(servers, now); seen != "" {
+		c.stats.Evidence += "; " + seen
+	}
+}
+
+// countReasons says how many of a service's servers may not be sent the call's request, by reason.
+func (c *call) countReasons(servers []*pollencatalog.Server, now time.Time) string {
+	if len(servers) == 0 {
+		return "no servers known"
+	}
+	var counts pollengate.Counts
+	for _, server := range servers {
+		counts[c.forwarder.config.Gate.Check(server, c.request.Received, now)]++
 	}
-	c.stats.Evidence = c.forwarder.config.Ranking.Unavailability(servers, now)
+	return counts.String()
 }
 
 // tryStart sends the first request of each subrequest if enough of them have capacity; the others stay pending. It
--- a/pollen/pollenforward/heldback_test.go
+++ b/pollen/pollenforward/heldback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"pollenline.example/pollen/pollencatalog"
 	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollengate"
+	"pollenline.example/pollen/pollenrank"
 	"pollenline.example/pollen/pollenreach"
 )
 
@@ -310,3 +312,31 @@
 		c.Assert(refused > 0, qt.IsTrue)
 	})
 }
+
+// Guards against a refusal for want of servers whose log line does not say which services lack them, nor why, and against one without
+// bound.
+func TestRefusalNamesServicesWithoutServers(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHarness(12, 10)
+		config := pollencatalog.TableConfig{Configuration: h.table.Configuration(), Instances: h.table.Instances(), EvacuatedZones: map[string]bool{"zone-b": true}}
+		h.table.ForEachServer(func(s *pollencatalog.Server) {
+			changed := *s
+			changed.Draining = s.Service == service(1)
+			if slices.Contains([]string{service(0), service(1), service(11)}, s.Service) {
+				config.Servers = append(config.Servers, &changed)
+			}
+			for range 5 {
+				if s.ID == "a0" {
+					h.ranking.Start("sharded", &changed, time.Now()).Finish(pollenrank.Failed, time.Now())
+				}
+			}
+		})
+		h.table = pollencatalog.NewTable(config)
+		_, stats, _, err := h.serve(t.Context(), shardedRoute(12))
+		c.Assert(err, qt.ErrorAs, new(*RefusedError))
+		c.Check(stats.Evidence, qt.Matches,
+			`shard-0: zone evacuated: 1, ejected: 1; shard-1: draining: 2; shard-2: no servers known; .*; shard-9: no servers known; and 1 more services; a0: 5 failures, .*`)
+		c.Check(stats.LogFields(), qt.Contains, any(stats.Evidence))
+	})
+}
