Find the services without an available server once

The refusal asked the ranking about each service a second time to name those that lack a server, and worked out the reasons of services that the line then left out. No change of the line.

--- a/pollen/pollenforward/admit.go
+++ b/pollen/pollenforward/admit.go
@@ -25,14 +25,14 @@
 		return &RefusedError{Cause: "no time left on arrival"}
 	}
 	timeLeft := c.schedule.End.Sub(now)
-	available := 0
+	var lacking []string
 	for i := range c.subrequests {
-		if c.hasAvailableServer(&c.subrequests[i], now) {
-			available++
+		if s := &c.subrequests[i]; !c.hasAvailableServer(s, now) {
+			lacking = append(lacking, s.service)
 		}
 	}
-	if available < c.requiredAnswers() {
-		c.recordUnavailability(now)
+	if available := len(c.subrequests) - len(lacking); available < c.requiredAnswers() {
+		c.recordUnavailability(lacking, now)
 		return &RefusedError{
 			Cause:      fmt.Sprintf("servers available for %d of %d services, %d needed", available, len(c.subrequests), c.requiredAnswers()),
 			Unreached:  true,
@@ -85,25 +85,25 @@
 // maxNamedServices bounds the services that the log names for one refused request.
 const maxNamedServices = 10
 
-// recordUnavailability records for the log which of the call's services have no available server, why none of their servers counts, and
-// what a few of those have done.
-func (c *call) recordUnavailability(now time.Time) {
-	var lacking []string
+// recordUnavailability records for the log why none of the servers of the services that lack an available one counts, and what a few of
+// those servers have done.
+func (c *call) recordUnavailability(lacking []string, now time.Time) {
+	var reasons []string
 	var servers []*pollencatalog.Server
-	for i := range c.subrequests {
-		if s := &c.subrequests[i]; !c.hasAvailableServer(s, now) {
-			ofService := c.forwarder.config.Table().ServersOf(s.service)
-			servers = append(servers, ofService...)
-			lacking = append(lacking, s.service+": "+c.countReasons(ofService, now))
+	for _, service := range lacking {
+		ofService := c.forwarder.config.Table().ServersOf(service)
+		servers = append(servers, ofService...)
+		if len(reasons) < maxNamedServices {
+			reasons = append(reasons, service+": "+c.countReasons(ofService, now))
 		}
 	}
-	if more := len(lacking) - maxNamedServices; more > 0 {
-		lacking = append(lacking[:maxNamedServices], fmt.Sprintf("and %d more services", more))
+	if more := len(lacking) - len(reasons); more > 0 {
+		reasons = append(reasons, fmt.Sprintf("and %d more services", more))
 	}
-	c.stats.Evidence = strings.Join(lacking, "; ")
 	if seen := c.forwarder.config.Ranking.Unavailability(servers, now); seen != "" {
-		c.stats.Evidence += "; " + seen
+		reasons = append(reasons, seen)
 	}
+	c.stats.Evidence = strings.Join(reasons, "; ")
 }
 
 // countReasons says how many of a service's servers may not be sent the call's request, by reason.
