Count the heads of requests while they come

Seen: 120 clients that send fields without end take 1,123 to 1,367 MB of an instance's memory at its callers', directory, readiness and metrics listeners (96 MB allowed), equal fields 270 MB, whole heads of 900 KB 175 MB; the process is killed by its machine. A client whose head does not end got no answer. Cause: http.Server.MaxHeaderBytes was its default of 1 MB, and counts bytes only: a field of five bytes takes some hundred when it is parsed. The configuration's limit was applied after parsing. Nothing bounded the heads of all connections together. Change: pollenconn wraps the connections of a listener and counts a head before the server parses it: bytes against the limit in force, read at each part, and bytes and lines against a budget of a tenth of the memory that all heads share. Beyond the limit the client gets 431, beyond the budget 503 with Retry-After, and its connection is read for a second longer, so that the reset does not overtake the answer. Small heads (some 50 fields) always pass. Bytes that came with the request before count as well. What was closed and why is counted and logged, a line a second for each listener and reason.

--- /dev/null
+++ b/pollen/pollenconn/conn.go
@@ -0,0 +1,197 @@
+package pollenconn
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"pollenline.example/pollen/pollenmemory"
+)
+
+// Conn is a connection of a client.
+type Conn struct {
+	net.Conn
+	registry *Registry
+
+	// The registry's mutex guards the following fields.
+
+	phase Phase
+	// headBytes counts the head of a request while it comes.
+	headBytes int64
+	head      *pollenmemory.Reservation
+	// lastBytes and lastLines count what the last read returned, which may hold the begin of the next head.
+	lastBytes, lastLines int64
+	// awaited is set once the server waits for the next request, until something has come.
+	awaited bool
+}
+
+const (
+	// headSlackBytes is what a head may have beyond its limit before it is cut: the server reads ahead, so that the begin of a body counts
+	// as part of its head. The exact limit applies to the head that was read.
+	headSlackBytes = 4 << 10
+	// byteCost and lineCost are the memory, in bytes, that a byte and a field of a head take from their arrival to the answer: a field
+	// is copied into several maps on its way to a server.
+	byteCost = 2
+	lineCost = 512
+)
+
+// Read reads from the client. If the head of a request exceeds a limit, it answers the client itself, and returns a *net.OpError once the
+// answer has had time to arrive.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if refusal := c.count(p[:n]); refusal != nil {
+		c.refuse(refusal)
+		// After such an error a server writes no answer of its own.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &RefusedError{Reason: refusal.reason}}
+	}
+	return n, err
+}
+
+// RefusedError reports a connection whose client got its answer from the connection itself, because the head of its request exceeded a
+// limit.
+type RefusedError struct {
+	Reason Reason
+}
+
+func (e *RefusedError) Error() string { return "the client was refused: " + string(e.Reason) }
+
+// refusal is an answer to a client whose request is not read to its end.
+type refusal struct {
+	reason Reason
+	status int
+	// fields are header fields, each with its line end.
+	fields string
+	text   string
+}
+
+// count counts what has come, and returns an answer if the connection is to be closed for it.
+func (c *Conn) count(data []byte) *refusal {
+	limits := c.registry.limits()
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.awaited = false
+	c.lastBytes, c.lastLines = int64(len(data)), int64(bytes.Count(data, lineEnd))
+	switch {
+	case c.phase == Serving:
+		return nil
+	case c.phase != Reading:
+		c.beginHead()
+	}
+	return c.addToHead(limits)
+}
+
+var lineEnd = []byte("\n")
+
+// beginHead notes that the head of a request has begun to come.
+func (c *Conn) beginHead() { c.phase, c.headBytes = Reading, 0 }
+
+// addToHead counts what the last read returned as part of a head.
+func (c *Conn) addToHead(limits Limits) *refusal {
+	c.headBytes += c.lastBytes
+	if c.headBytes > 2*limits.HeaderBytes+headSlackBytes {
+		return &refusal{
+			reason: HeadTooLarge, status: http.StatusRequestHeaderFieldsTooLarge,
+			text: fmt.Sprintf("header of more than %d bytes", limits.HeaderBytes),
+		}
+	}
+	if err := c.head.Grow(c.lastBytes*byteCost + c.lastLines*lineCost); err != nil {
+		return &refusal{
+			reason: HeadMemory, status: http.StatusServiceUnavailable, fields: fmt.Sprintf("Retry-After: %.3f\r\n", memoryRetryAfter.Seconds()),
+			text: "too much memory is taken by the headers of open requests",
+		}
+	}
+	return nil
+}
+
+const (
+	// memoryRetryAfter is when a client may come back whose head did not fit: other instances may have room at once, and clients that hold
+	// heads open are cut within seconds.
+	memoryRetryAfter = 500 * time.Millisecond
+	// lingerTimeout is how long a connection is read after an answer that its client may not expect yet. If it were closed at once, the
+	// reset that answers what the client still sends would overtake the answer.
+	lingerTimeout = time.Second
+	// lingerBytes bounds what is read then.
+	lingerBytes = 4 << 20
+)
+
+// refuse answers the client, and reads on for a while so that the answer arrives.
+func (c *Conn) refuse(answer *refusal) {
+	c.registry.count(answer.reason)
+	deadline := time.Now().Add(lingerTimeout)
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s\n",
+		answer.status, http.StatusText(answer.status), answer.fields, len(answer.text)+1, answer.text)
+	if err := c.Conn.SetDeadline(deadline); err != nil {
+		return
+	}
+	if _, err := io.WriteString(c.Conn, text); err != nil {
+		return
+	}
+	if err := c.CloseWrite(); err != nil {
+		return
+	}
+	// It ends when the client has closed its side, at the deadline, or with an error that ends the connection as well.
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+// CloseWrite closes the sending side of the connection, as net/http does before it waits for the client to read the last answer.
+func (c *Conn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// SetReadDeadline sets the deadline of reads. A server sets one whenever it begins to wait for a request or for the rest of a head.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	now := time.Now()
+	limits := c.registry.limits()
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	switch {
+	case deadline.IsZero() || !deadline.After(now):
+	case c.phase == Idle && !c.awaited:
+		c.awaited = true
+	case c.phase == Idle:
+		// The server has not had to wait: the begin of the next head came with the last request.
+		c.beginHead()
+		// A head that is too large is refused when more of it comes.
+		_ = c.addToHead(limits)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.forget()
+	return err
+}
+
+// forget removes the connection from its registry, which must be locked.
+func (c *Conn) forget() {
+	c.head.Release()
+	delete(c.registry.conns, c)
+}
+
+// setState follows the server's state of the connection.
+func (c *Conn) setState(state http.ConnState) {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.phase = Serving
+	case http.StateIdle:
+		c.head.Release()
+		c.phase, c.awaited = Idle, false
+	case http.StateClosed, http.StateHijacked:
+		c.forget()
+	}
+}
--- /dev/null
+++ b/pollen/pollenconn/conn_test.go
@@ -0,0 +1,171 @@
+package pollenconn
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollenline.example/pollen/pollenmemory"
+)
+
+// pipeListener accepts in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// testServer serves in-memory connections of a registry.
+type testServer struct {
+	registry *Registry
+	pipes    *pipeListener
+	server   *http.Server
+}
+
+func startTestServer(t *testing.T, config RegistryConfig) *testServer {
+	if config.Heads == nil {
+		config.Heads = pollenmemory.New(pollenmemory.Config{})
+	}
+	s := &testServer{registry: NewRegistry(config), pipes: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
+	s.server = &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})}
+	s.registry.Track(s.server)
+	go func() { _ = s.server.Serve(&listener{Listener: s.pipes, registry: s.registry}) }()
+	t.Cleanup(func() { _ = s.server.Close() })
+	return s
+}
+
+// connect opens a connection.
+func (s *testServer) connect() net.Conn {
+	client, server := net.Pipe()
+	s.pipes.conns <- server
+	synctest.Wait()
+	return client
+}
+
+// send writes a text, and returns the status of the answer.
+func send(conn net.Conn, text string) (int, error) {
+	written := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(conn, text)
+		written <- err
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, errors.Join(err, conn.Close())
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, errors.Join(err, response.Body.Close())
+}
+
+const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against limits of heads that are not kept, that come too early, or that do not follow the configuration.
+func TestHeadLimits(t *testing.T) {
+	fields := func(n int) string {
+		var text strings.Builder
+		for i := range n {
+			fmt.Fprintf(&text, "%x:\r\n", i)
+		}
+		return text.String()
+	}
+	start := "GET / HTTP/1.1\r\nHost: h\r\n"
+	tests := []struct {
+		name        string
+		headerBytes int64
+		memory      int64
+		text        string
+		want        int
+	}{
+		{"ordinary", 1000, 1 << 20, get, http.StatusOK},
+		{"long field", 16000, 1 << 20, start + "X: " + strings.Repeat("x", 15000) + "\r\n\r\n", http.StatusOK},
+		{"long line and long field", 8000, 1 << 20, "GET /" + strings.Repeat("x", 7000) + " HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 7000) + "\r\n\r\n", http.StatusOK},
+		{"field that is too long", 8000, 1 << 20, start + "X: " + strings.Repeat("x", 30000), http.StatusRequestHeaderFieldsTooLarge},
+		{"line that is too long", 8000, 1 << 20, "GET /" + strings.Repeat("x", 30000), http.StatusRequestHeaderFieldsTooLarge},
+		{"short fields within the memory", 16000, 4 << 20, start + fields(3000) + "\r\n", http.StatusOK},
+		{"short fields beyond the memory", 16000, 1 << 20, start + fields(3000) + "\r\n", http.StatusServiceUnavailable},
+		{"few fields beyond the memory", 16000, 1, start + fields(10) + "\r\n", http.StatusOK},
+		{"no limits are known", 0, 4 << 20, start + "X: " + strings.Repeat("x", 500000) + "\r\n\r\n", http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := startTestServer(t, RegistryConfig{
+					Heads:  pollenmemory.New(pollenmemory.Config{LimitBytes: test.memory, SmallBytes: smallHeadBytes}),
+					Limits: func() Limits { return Limits{HeaderBytes: test.headerBytes} },
+				})
+				conn := s.connect()
+				status, err := send(conn, test.text)
+				c.Check(err, qt.IsNil)
+				c.Check(status, qt.Equals, test.want)
+				c.Check(conn.Close(), qt.IsNil)
+				synctest.Wait()
+				c.Check(s.registry.config.Heads.Used(), qt.Equals, int64(0))
+				c.Check(s.registry.Counts().Open, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// Guards against heads that are not counted because they came together with the request before.
+func TestPipelinedHeadsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := startTestServer(t, RegistryConfig{})
+		conn := s.connect()
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		_, err := io.WriteString(conn, get+"GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 500))
+		c.Assert(err, qt.IsNil)
+		synctest.Wait()
+		c.Check(s.registry.config.Heads.Used() >= 500*lineCost, qt.IsTrue, qt.Commentf("%d bytes", s.registry.config.Heads.Used()))
+		c.Check(conn.Close(), qt.IsNil)
+	})
+}
+
+// Guards against limits that hold only for connections that are opened after them.
+func TestLimitsFollowConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limits := Limits{HeaderBytes: 16000}
+		s := startTestServer(t, RegistryConfig{Limits: func() Limits { return limits }})
+		conn := s.connect()
+		text := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 12000) + "\r\n\r\n"
+		status, err := send(conn, text)
+		c.Assert(err, qt.IsNil)
+		c.Assert(status, qt.Equals, http.StatusOK)
+		limits = Limits{HeaderBytes: 1000}
+		status, err = send(conn, text)
+		c.Assert(err, qt.IsNil)
+		c.Assert(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
--- a/pollen/pollenmemory/budget.go
+++ b/pollen/pollenmemory/budget.go
@@ -1,6 +1,7 @@
 package pollenmemory
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -10,11 +11,13 @@
 type Config struct {
 	// LimitBytes is the number of bytes that all bodies together may take; zero means no limit.
 	LimitBytes int64
+	// SmallBytes is the size up to which a body is accepted even if the limit is reached; zero means DefaultSmallBytes.
+	SmallBytes int64
 }
 
-// smallBodyBytes is the size up to which a body is accepted even if the limit is reached: the answers of healthy servers
-// are far smaller, and must not be lost because other servers send too much.
-const smallBodyBytes = 64 << 10
+// DefaultSmallBytes is the default of Config.SmallBytes: the answers of healthy servers are far smaller, and must not be lost because
+// other servers send too much.
+const DefaultSmallBytes = 64 << 10
 
 // Budget counts the bytes of all bodies that an instance holds.
 //
@@ -26,7 +29,10 @@
 }
 
 // New returns a Budget of which nothing is used.
-func New(config Config) *Budget { return &Budget{config: config} }
+func New(config Config) *Budget {
+	config.SmallBytes = cmp.Or(config.SmallBytes, DefaultSmallBytes)
+	return &Budget{config: config}
+}
 
 // Used returns the number of bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
@@ -85,7 +91,7 @@
 	}
 	budget := r.account.budget
 	used := budget.used.Add(more)
-	if limit := budget.config.LimitBytes; limit > 0 && used > limit && r.bytes+more > smallBodyBytes {
+	if limit := budget.config.LimitBytes; limit > 0 && used > limit && r.bytes+more > budget.config.SmallBytes {
 		budget.used.Add(-more)
 		return &ExhaustedError{Held: r.bytes, LimitBytes: limit}
 	}
--- /dev/null
+++ b/pollenentry/pollenfront/clients.go
@@ -0,0 +1,33 @@
+package pollenfront
+
+import "pollenline.example/pollen/pollenconn"
+
+// The listeners of an instance, as logs and metrics name them.
+const (
+	listenerCallers   = "callers"
+	listenerDirectory = "directory"
+	listenerReadiness = "readiness"
+	listenerMetrics   = "metrics"
+)
+
+// httpListeners names the listeners of Frontend.httpServers.
+var httpListeners = []string{listenerCallers, listenerDirectory, listenerReadiness, listenerMetrics}
+
+// newRegistries returns the registries of the clients' connections by listener.
+func (f *Frontend) newRegistries(resources pollenconn.Resources) pollenconn.Registries {
+	heads := resources.HeadBudget()
+	registries := make(pollenconn.Registries, len(httpListeners))
+	for _, listener := range httpListeners {
+		registries[listener] = pollenconn.NewRegistry(pollenconn.RegistryConfig{Heads: heads, Limits: f.clientLimits})
+	}
+	return registries
+}
+
+// clientLimits returns the limits of callers' requests that the configuration in force states.
+func (f *Frontend) clientLimits() pollenconn.Limits {
+	configuration := f.view.Table().Configuration()
+	if configuration == nil {
+		return pollenconn.Limits{}
+	}
+	return pollenconn.Limits{HeaderBytes: configuration.Limits.MaxHeaderBytes}
+}
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -21,6 +21,7 @@
 	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollenbudget"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenconn"
 	"pollenline.example/pollen/pollendrain"
 	"pollenline.example/pollen/pollenfollow"
 	"pollenline.example/pollen/pollenforward"
@@ -90,6 +91,9 @@
 	// httpServers begins with the callers' server, the only one that is drained; callerConns knows its connections.
 	httpServers []*http.Server
 	callerConns *connTracker
+	// registries holds the clients' connections, by listener; connectionLog logs what they close.
+	registries    pollenconn.Registries
+	connectionLog pollenconn.Log
 	// drain tells whether the shutdown has begun.
 	drain *pollendrain.Drain
 	// viewStale is set while the store is unreachable.
@@ -265,6 +269,11 @@
 		newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
 	f.callerConns = newConnTracker(f.httpServers[0])
+	f.registries = f.newRegistries(pollenconn.NewResources(settings.MemoryMegabytes))
+	for n, server := range f.httpServers {
+		f.registries[httpListeners[n]].Track(server)
+	}
+	f.metrics.registry.MustRegister(f.registries.NewCollector())
 	return f, nil
 }
 
@@ -300,13 +309,13 @@
 func (f *Frontend) Run(ctx context.Context) error {
 	serveErrors := make(chan error, len(f.httpServers)+1)
 	var callerListener net.Listener
-	for _, server := range f.httpServers {
-		listener, err := net.Listen("tcp", server.Addr)
+	for n, server := range f.httpServers {
+		listener, err := f.registries[httpListeners[n]].Listen(server.Addr)
 		if err != nil {
 			return &ListenError{Address: server.Addr, Err: err}
 		}
 		serve := server.Serve
-		if server == f.httpServers[0] {
+		if n == 0 {
 			callerListener, serve = listener, f.callerConns.serve
 		}
 		go func() { serveErrors <- serve(listener) }()
@@ -486,6 +495,7 @@
 			f.peerPool.Trim()
 			f.reviewReach(ctx)
 			f.reportRollouts(ctx)
+			f.connectionLog.Write(f.registries, time.Now())
 		}
 	}
 }
