Close connections for new ones at a full listener

Seen by callers: no answer while 400 clients hold connections at the callers', directory or metrics listener of an instance that may open 300 descriptors: silent, idle after a request, or with open bodies. The crowd takes all descriptors, also those to servers and the store. Cause: nothing bounded the number of connections, and the process accepted until it had no descriptor left. Change: each listener has a number of its own, a share of the descriptors (the new setting MaxDescriptors, the system's limit, or 2,048) and of the memory. At a full listener choose decides which connection is closed for a new one: one without a request for a second, the oldest first, then the one idle for longest, then the oldest incomplete request, then the answer unread for longest; never a request that is being handled. An idle connection is ended by its read deadline, so that a request that came meanwhile is served; one whose request had not come completely is closed, and nothing of it runs.

--- a/pollen/pollenconn/conn.go
+++ b/pollen/pollenconn/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"pollenline.example/pollen/pollenmemory"
@@ -15,11 +16,16 @@
 type Conn struct {
 	net.Conn
 	registry *Registry
+	// writeSince is when the pending write began, in Unix nanoseconds; zero if none is pending.
+	writeSince atomic.Int64
 
 	// The registry's mutex guards the following fields.
 
-	phase Phase
-	// headBytes counts the head of a request while it comes.
+	state State
+	// evicted is set once the connection is closed for another one.
+	evicted bool
+	// inHead is set while what comes is the head of a request, as far as is known; headBytes counts it.
+	inHead    bool
 	headBytes int64
 	head      *pollenmemory.Reservation
 	// lastBytes and lastLines count what the last read returned, which may hold the begin of the next head.
@@ -38,6 +44,15 @@
 	lineCost = 512
 )
 
+// currentState returns the state that the choice depends on.
+func (c *Conn) currentState() State {
+	state := c.state
+	if since := c.writeSince.Load(); since != 0 {
+		state.BlockedSince = time.Unix(0, since)
+	}
+	return state
+}
+
 // Read reads from the client. If the head of a request exceeds a limit, it answers the client itself, and returns a *net.OpError once the
 // answer has had time to arrive.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -45,7 +60,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if refusal := c.count(p[:n]); refusal != nil {
+	if refusal := c.count(p[:n], time.Now()); refusal != nil {
 		c.refuse(refusal)
 		// After such an error a server writes no answer of its own.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: &RefusedError{Reason: refusal.reason}}
@@ -71,17 +86,19 @@
 }
 
 // count counts what has come, and returns an answer if the connection is to be closed for it.
-func (c *Conn) count(data []byte) *refusal {
+func (c *Conn) count(data []byte, now time.Time) *refusal {
 	limits := c.registry.limits()
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
 	c.awaited = false
 	c.lastBytes, c.lastLines = int64(len(data)), int64(bytes.Count(data, lineEnd))
 	switch {
-	case c.phase == Serving:
+	case c.state.Phase == Serving:
+		return nil
+	case c.state.Phase != Reading:
+		c.beginHead(now)
+	case !c.inHead:
 		return nil
-	case c.phase != Reading:
-		c.beginHead()
 	}
 	return c.addToHead(limits)
 }
@@ -89,7 +106,9 @@
 var lineEnd = []byte("\n")
 
 // beginHead notes that the head of a request has begun to come.
-func (c *Conn) beginHead() { c.phase, c.headBytes = Reading, 0 }
+func (c *Conn) beginHead(now time.Time) {
+	c.state, c.inHead, c.headBytes = State{Phase: Reading, Since: now}, true, 0
+}
 
 // addToHead counts what the last read returned as part of a head.
 func (c *Conn) addToHead(limits Limits) *refusal {
@@ -147,6 +166,13 @@
 	return nil
 }
 
+// Write writes to the client, and notes since when the client has read nothing.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writeSince.Store(time.Now().UnixNano())
+	defer c.writeSince.Store(0)
+	return c.Conn.Write(p)
+}
+
 // SetReadDeadline sets the deadline of reads. A server sets one whenever it begins to wait for a request or for the rest of a head.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	now := time.Now()
@@ -155,11 +181,13 @@
 	defer c.registry.mu.Unlock()
 	switch {
 	case deadline.IsZero() || !deadline.After(now):
-	case c.phase == Idle && !c.awaited:
+	case c.evicted:
+		return nil
+	case c.state.Phase == Idle && !c.awaited:
 		c.awaited = true
-	case c.phase == Idle:
+	case c.state.Phase == Idle:
 		// The server has not had to wait: the begin of the next head came with the last request.
-		c.beginHead()
+		c.beginHead(now)
 		// A head that is too large is refused when more of it comes.
 		_ = c.addToHead(limits)
 	}
@@ -182,16 +210,40 @@
 }
 
 // setState follows the server's state of the connection.
-func (c *Conn) setState(state http.ConnState) {
+func (c *Conn) setState(state http.ConnState, now time.Time) {
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		c.phase = Serving
+		c.inHead = false
+		if c.state.Phase == Idle {
+			// The whole head came with the last request.
+			c.state = State{Phase: Reading, Since: now}
+		}
+		if c.evicted && c.state.Phase != Waiting {
+			c.readmit()
+		}
 	case http.StateIdle:
 		c.head.Release()
-		c.phase, c.awaited = Idle, false
+		c.state, c.awaited = State{Phase: Idle, Since: now}, false
 	case http.StateClosed, http.StateHijacked:
 		c.forget()
 	}
 }
+
+// readmit takes a connection back that was evicted while it was idle: its request came first.
+func (c *Conn) readmit() {
+	// It fails if the connection was closed, which ends its request as well.
+	if c.Conn.SetReadDeadline(time.Time{}) == nil {
+		c.evicted = false
+		c.registry.conns[c] = struct{}{}
+	}
+}
+
+// beginServing notes that a request has come completely, and reports false if the connection was closed before.
+func (c *Conn) beginServing(now time.Time) bool {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.state = State{Phase: Serving, Since: now}
+	return !c.evicted
+}
--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -54,8 +54,11 @@
 	}
 	s := &testServer{registry: NewRegistry(config), pipes: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
 	s.server = &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		switch _, err := io.Copy(io.Discard, r.Body); {
+		case err != nil:
 			w.WriteHeader(http.StatusBadRequest)
+		case r.URL.Path == "/slow":
+			time.Sleep(time.Minute)
 		}
 	})}
 	s.registry.Track(s.server)
@@ -121,7 +124,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				s := startTestServer(t, RegistryConfig{
-					Heads:  pollenmemory.New(pollenmemory.Config{LimitBytes: test.memory, SmallBytes: smallHeadBytes}),
+					MaxConnections: 10, Heads: pollenmemory.New(pollenmemory.Config{LimitBytes: test.memory, SmallBytes: smallHeadBytes}),
 					Limits: func() Limits { return Limits{HeaderBytes: test.headerBytes} },
 				})
 				conn := s.connect()
@@ -141,7 +144,7 @@
 func TestPipelinedHeadsAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := startTestServer(t, RegistryConfig{})
+		s := startTestServer(t, RegistryConfig{MaxConnections: 10})
 		conn := s.connect()
 		go func() { _, _ = io.Copy(io.Discard, conn) }()
 		_, err := io.WriteString(conn, get+"GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 500))
@@ -157,7 +160,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		limits := Limits{HeaderBytes: 16000}
-		s := startTestServer(t, RegistryConfig{Limits: func() Limits { return limits }})
+		s := startTestServer(t, RegistryConfig{MaxConnections: 10, Limits: func() Limits { return limits }})
 		conn := s.connect()
 		text := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 12000) + "\r\n\r\n"
 		status, err := send(conn, text)
@@ -169,3 +172,65 @@
 		c.Assert(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 	})
 }
+
+func write(conn net.Conn, text string) error {
+	_, err := io.WriteString(conn, text)
+	return err
+}
+
+// Load pattern: silent clients hold all connections. Callers that send at once are served, and a request that comes on a connection that is
+// being closed for another one is served as well.
+func TestFullListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := startTestServer(t, RegistryConfig{MaxConnections: 3})
+		slow := s.connect()
+		c.Assert(write(slow, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"), qt.IsNil)
+		idle := s.connect()
+		status, err := send(idle, get)
+		c.Assert(err, qt.IsNil)
+		c.Assert(status, qt.Equals, http.StatusOK)
+		s.connect()
+		time.Sleep(2 * promptness)
+		for range 20 {
+			conn := s.connect()
+			status, err := send(conn, get)
+			c.Assert(err, qt.IsNil)
+			c.Assert(status, qt.Equals, http.StatusOK)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(response.Body.Close(), qt.IsNil)
+	})
+}
+
+// Guards against a request that has come on an idle connection and is lost because the connection was chosen to be closed meanwhile.
+func TestRequestOnEvictedConnectionIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry := NewRegistry(RegistryConfig{MaxConnections: 1, Heads: pollenmemory.New(pollenmemory.Config{})})
+		client, server := net.Pipe()
+		defer client.Close()
+		conn := registry.open(server, time.Now())
+		conn.setState(http.StateIdle, time.Now())
+		go func() { _, _ = io.WriteString(client, get) }()
+		n, err := conn.Read(make([]byte, len(get)))
+		c.Assert(err, qt.IsNil)
+		c.Assert(n, qt.Equals, len(get))
+		// The head has come, so that the connection is no longer idle.
+		c.Assert(registry.closeOne(time.Now()), qt.IsTrue)
+		conn.setState(http.StateActive, time.Now())
+		c.Assert(conn.beginServing(time.Now()), qt.IsFalse)
+
+		other, otherServer := net.Pipe()
+		defer other.Close()
+		idle := registry.open(otherServer, time.Now())
+		idle.setState(http.StateIdle, time.Now())
+		c.Assert(registry.closeOne(time.Now()), qt.IsTrue)
+		c.Assert(registry.Counts().Open, qt.Equals, 0)
+		idle.setState(http.StateActive, time.Now())
+		c.Assert(idle.beginServing(time.Now()), qt.IsTrue)
+		c.Assert(registry.Counts().Open, qt.Equals, 1)
+	})
+}
--- a/pollen/pollenconn/listen.go
+++ b/pollen/pollenconn/listen.go
@@ -1,6 +1,9 @@
 package pollenconn
 
-import "net"
+import (
+	"net"
+	"time"
+)
 
 // listener accepts connections into a registry.
 type listener struct {
@@ -17,11 +20,17 @@
 	return &listener{Listener: l, registry: r}, nil
 }
 
-// Accept waits for a connection.
+// Accept waits for a connection that the registry takes, and closes others.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.registry.open(conn, time.Now()); c != nil {
+			return c, nil
+		}
+		// Its client may try again elsewhere, as nothing was read.
+		_ = conn.Close()
 	}
-	return l.registry.open(conn), nil
 }
--- a/pollen/pollenconn/registry.go
+++ b/pollen/pollenconn/registry.go
@@ -1,10 +1,12 @@
 package pollenconn
 
 import (
+	"context"
 	"maps"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"pollenline.example/pollen/pollenmemory"
 )
@@ -20,6 +22,8 @@
 
 // RegistryConfig holds the parameters of a Registry.
 type RegistryConfig struct {
+	// MaxConnections bounds the connections that are open at once.
+	MaxConnections int
 	// Heads bounds the memory that the heads of all requests take, until their answers are written.
 	Heads *pollenmemory.Budget
 	// Limits returns the limits in force; if it is nil, the defaults hold.
@@ -45,6 +49,8 @@
 
 // The reasons for which connections are closed.
 const (
+	// Full means that the connection was closed for a new one, or as the newest while none could be closed for it.
+	Full Reason = "full"
 	// HeadTooLarge means that a head had more bytes than the limits allow.
 	HeadTooLarge Reason = "head too large"
 	// HeadMemory means that the heads of all requests took too much memory.
@@ -52,7 +58,7 @@
 )
 
 // Reasons returns all reasons.
-func Reasons() []Reason { return []Reason{HeadTooLarge, HeadMemory} }
+func Reasons() []Reason { return []Reason{Full, HeadTooLarge, HeadMemory} }
 
 // Counts holds what a Registry has counted.
 type Counts struct {
@@ -87,27 +93,66 @@
 	return limits
 }
 
-// open registers a new connection.
-func (r *Registry) open(conn net.Conn) *Conn {
+// open registers a new connection and closes another one for it if there are too many. It returns nil if none can be closed.
+func (r *Registry) open(conn net.Conn, now time.Time) *Conn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := &Conn{Conn: conn, registry: r, head: r.config.Heads.NewAccount().NewReservation()}
+	if len(r.conns) >= r.config.MaxConnections {
+		r.closed[Full]++
+		if !r.closeOne(now) {
+			return nil
+		}
+	}
+	c := &Conn{Conn: conn, registry: r, state: State{Since: now}, head: r.config.Heads.NewAccount().NewReservation()}
 	r.conns[c] = struct{}{}
 	return c
 }
 
+// closeOne closes the connection that choose returns, and reports whether there is one. The registry must be locked.
+func (r *Registry) closeOne(now time.Time) bool {
+	conns, states := make([]*Conn, 0, len(r.conns)), make([]State, 0, len(r.conns))
+	for c := range r.conns {
+		conns, states = append(conns, c), append(states, c.currentState())
+	}
+	n := choose(states, now)
+	if n == none {
+		return false
+	}
+	c := conns[n]
+	delete(r.conns, c)
+	c.evicted = true
+	if c.state.Phase == Idle {
+		// A request that has come meanwhile is read and served; otherwise the server closes the connection.
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
+		return true
+	}
+	// Nothing has run of a request that has not come completely, and an answer that is not read can't be delivered.
+	_ = c.Conn.Close()
+	return true
+}
+
+// expiredDeadline is a deadline in the past.
+var expiredDeadline = time.Unix(1, 0)
+
+// connKey is the key of a request's *Conn in its context.
+type connKey struct{}
+
 // Track makes a server report the phases of its connections to the registry, beside what it does already. The server must serve a
 // listener that Listen returned, and set deadlines while it waits for a request and for a head.
 func (r *Registry) Track(server *http.Server) {
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := conn.(*Conn); ok {
-			c.setState(state)
+			c.setState(state, time.Now())
 		}
 		if next != nil {
 			next(conn, state)
 		}
 	}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	server.Handler = handler{server.Handler}
 	server.MaxHeaderBytes = serverHeaderBytes
 }
 
--- a/pollenentry/pollenfront/clients.go
+++ b/pollenentry/pollenfront/clients.go
@@ -13,12 +13,20 @@
 // httpListeners names the listeners of Frontend.httpServers.
 var httpListeners = []string{listenerCallers, listenerDirectory, listenerReadiness, listenerMetrics}
 
+// clientShares holds the shares of the process's descriptors that the clients of each listener may take.
+var clientShares = map[string]float64{
+	listenerCallers: pollenconn.CallerShare, listenerDirectory: pollenconn.DirectoryShare,
+	listenerReadiness: pollenconn.OperatorShare, listenerMetrics: pollenconn.OperatorShare,
+}
+
 // newRegistries returns the registries of the clients' connections by listener.
 func (f *Frontend) newRegistries(resources pollenconn.Resources) pollenconn.Registries {
 	heads := resources.HeadBudget()
-	registries := make(pollenconn.Registries, len(httpListeners))
-	for _, listener := range httpListeners {
-		registries[listener] = pollenconn.NewRegistry(pollenconn.RegistryConfig{Heads: heads, Limits: f.clientLimits})
+	registries := make(pollenconn.Registries, len(clientShares))
+	for listener, share := range clientShares {
+		registries[listener] = pollenconn.NewRegistry(pollenconn.RegistryConfig{
+			MaxConnections: resources.MaxConnections(share), Heads: heads, Limits: f.clientLimits,
+		})
 	}
 	return registries
 }
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -269,7 +269,7 @@
 		newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
 	f.callerConns = newConnTracker(f.httpServers[0])
-	f.registries = f.newRegistries(pollenconn.NewResources(settings.MemoryMegabytes))
+	f.registries = f.newRegistries(pollenconn.NewResources(settings.MemoryMegabytes, settings.MaxDescriptors))
 	for n, server := range f.httpServers {
 		f.registries[httpListeners[n]].Track(server)
 	}
--- a/pollenentry/pollenfront/settings.go
+++ b/pollenentry/pollenfront/settings.go
@@ -43,6 +43,9 @@
 	ProcessorShare float64
 	// MemoryMegabytes is the memory in MiB that the process may use; zero if it is not limited.
 	MemoryMegabytes int
+	// MaxDescriptors is the number of descriptors that the process may have open, of which clients may take shares; zero if it is not
+	// stated. The system's limit holds if it is lower.
+	MaxDescriptors int
 
 	// RetryRatio is the number of retries and hedges allowed per first request to a service, and RetrySlack the number
 	// allowed in addition; both count all instances' requests within RetryWindow.
@@ -183,6 +186,9 @@
 	if s.MemoryMegabytes < 0 {
 		return &pollensettings.FieldError{Field: "MemoryMegabytes", Problem: fmt.Sprintf("%d is below zero", s.MemoryMegabytes)}
 	}
+	if s.MaxDescriptors < 0 {
+		return &pollensettings.FieldError{Field: "MaxDescriptors", Problem: fmt.Sprintf("%d is below zero", s.MaxDescriptors)}
+	}
 	if s.RetryRatio < 0 {
 		return &pollensettings.FieldError{Field: "RetryRatio", Problem: fmt.Sprintf("%v is below zero", s.RetryRatio)}
 	}
