Bound how long clients take, by the limits in force

Seen: a client that sends a part of a body, or reads nothing of an answer, keeps its connection, its request and their memory for as long as it likes. The timeouts of heads and idle connections were 10 s and 2 minutes, whatever the configuration's limits said. Cause: net/http's timeouts are fixed when a server is made, and its limits for bodies and answers bound them as a whole, which would cut large ones of slow clients, so that none was set. Change: the connection replaces the deadlines that its server sets by those of the limits in force at that moment. Each part of a body must come within the idle timeout, and each 16 KB of an answer be read within it. The server reads the rest of a refused body for the idle timeout at most. Measured: TestTimeouts; with the deadlines of bodies and of writes taken out, two of its cases fail. Slow bodies and answers that go on are served.

--- a/pollen/pollenconn/conn.go
+++ b/pollen/pollenconn/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +34,10 @@
 	lastBytes, lastLines int64
 	// awaited is set once the server waits for the next request, until something has come.
 	awaited bool
+	// ended is set once the server has ended the reads of a connection that is not being served.
+	ended bool
+	// overdue is set once the client has taken too long.
+	overdue bool
 }
 
 const (
@@ -57,6 +63,9 @@
 // answer has had time to arrive.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.countTimeout(false)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -76,6 +85,18 @@
 
 func (e *RefusedError) Error() string { return "the client was refused: " + string(e.Reason) }
 
+// countTimeout counts a connection whose client took too long. Reads also end when a connection has been idle for long, when an answer is
+// written, when the connection is evicted and when the process stops.
+func (c *Conn) countTimeout(writing bool) {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	sending := c.state.Phase == Waiting || c.state.Phase == Reading
+	if !c.overdue && (writing || sending && !c.evicted && !c.ended) {
+		c.overdue = true
+		c.registry.closed[Timeout]++
+	}
+}
+
 // refusal is an answer to a client whose request is not read to its end.
 type refusal struct {
 	reason Reason
@@ -96,7 +117,7 @@
 	case c.state.Phase == Serving:
 		return nil
 	case c.state.Phase != Reading:
-		c.beginHead(now)
+		c.beginHead(limits, now)
 	case !c.inHead:
 		return nil
 	}
@@ -106,8 +127,12 @@
 var lineEnd = []byte("\n")
 
 // beginHead notes that the head of a request has begun to come.
-func (c *Conn) beginHead(now time.Time) {
+func (c *Conn) beginHead(limits Limits, now time.Time) {
 	c.state, c.inHead, c.headBytes = State{Phase: Reading, Since: now}, true, 0
+	if !c.evicted {
+		// It fails only if the connection is closed already.
+		_ = c.Conn.SetReadDeadline(now.Add(limits.HeaderTimeout))
+	}
 }
 
 // addToHead counts what the last read returned as part of a head.
@@ -166,32 +191,57 @@
 	return nil
 }
 
-// Write writes to the client, and notes since when the client has read nothing.
+// writeChunkBytes is the part of an answer that the client must read within the idle timeout.
+const writeChunkBytes = 16 << 10
+
+// Write writes to the client, and gives up when the client reads nothing for the idle timeout.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.writeSince.Store(time.Now().UnixNano())
+	written := 0
+	timeout := c.registry.limits().IdleTimeout
 	defer c.writeSince.Store(0)
-	return c.Conn.Write(p)
+	for {
+		now := time.Now()
+		c.writeSince.Store(now.UnixNano())
+		if err := c.Conn.SetWriteDeadline(now.Add(timeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeChunkBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.countTimeout(true)
+			}
+			return written, err
+		}
+	}
 }
 
-// SetReadDeadline sets the deadline of reads. A server sets one whenever it begins to wait for a request or for the rest of a head.
+// SetReadDeadline sets the deadline of reads. Of the deadlines that a server sets while it waits for a client only the moment counts: they
+// are replaced by those of the limits in force.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	now := time.Now()
 	limits := c.registry.limits()
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
 	switch {
-	case deadline.IsZero() || !deadline.After(now):
+	case deadline.IsZero():
+		return c.Conn.SetReadDeadline(deadline)
+	case !deadline.After(now):
+		c.ended = c.state.Phase != Serving
+		return c.Conn.SetReadDeadline(deadline)
 	case c.evicted:
 		return nil
-	case c.state.Phase == Idle && !c.awaited:
+	case c.state.Phase == Waiting, c.state.Phase == Idle && !c.awaited:
 		c.awaited = true
+		return c.Conn.SetReadDeadline(now.Add(limits.IdleTimeout))
 	case c.state.Phase == Idle:
 		// The server has not had to wait: the begin of the next head came with the last request.
-		c.beginHead(now)
+		c.beginHead(limits, now)
 		// A head that is too large is refused when more of it comes.
 		_ = c.addToHead(limits)
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	// The deadline of a head was set when it began.
+	return nil
 }
 
 // Close closes the connection.
@@ -215,7 +265,7 @@
 	defer c.registry.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		c.inHead = false
+		c.inHead, c.ended = false, false
 		if c.state.Phase == Idle {
 			// The whole head came with the last request.
 			c.state = State{Phase: Reading, Since: now}
--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -48,17 +48,22 @@
 	server   *http.Server
 }
 
+// answerBytes is the size of the answer to a request for /large.
+const answerBytes = 1 << 20
+
 func startTestServer(t *testing.T, config RegistryConfig) *testServer {
 	if config.Heads == nil {
 		config.Heads = pollenmemory.New(pollenmemory.Config{})
 	}
 	s := &testServer{registry: NewRegistry(config), pipes: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}}
-	s.server = &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch _, err := io.Copy(io.Discard, r.Body); {
 		case err != nil:
 			w.WriteHeader(http.StatusBadRequest)
 		case r.URL.Path == "/slow":
 			time.Sleep(time.Minute)
+		case r.URL.Path == "/large":
+			_, _ = w.Write(make([]byte, answerBytes))
 		}
 	})}
 	s.registry.Track(s.server)
@@ -159,20 +164,90 @@
 func TestLimitsFollowConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		limits := Limits{HeaderBytes: 16000}
+		limits := Limits{HeaderBytes: 16000, IdleTimeout: time.Minute}
 		s := startTestServer(t, RegistryConfig{MaxConnections: 10, Limits: func() Limits { return limits }})
 		conn := s.connect()
 		text := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 12000) + "\r\n\r\n"
 		status, err := send(conn, text)
 		c.Assert(err, qt.IsNil)
 		c.Assert(status, qt.Equals, http.StatusOK)
-		limits = Limits{HeaderBytes: 1000}
+		limits = Limits{HeaderBytes: 1000, IdleTimeout: 5 * time.Second}
 		status, err = send(conn, text)
 		c.Assert(err, qt.IsNil)
 		c.Assert(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+		conn = s.connect()
+		_, err = send(conn, get)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(4 * time.Second)
+		c.Check(s.registry.Counts().Open, qt.Equals, 1)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		c.Check(s.registry.Counts().Open, qt.Equals, 0)
+		c.Check(s.registry.Counts().Closed[Timeout], qt.Equals, int64(0))
 	})
 }
 
+// Guards against clients that take as long as they like to send a request or to read an answer, and against limits that cut those who are
+// slow but go on.
+func TestTimeouts(t *testing.T) {
+	limits := Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second}
+	tests := []struct {
+		name   string
+		behave func(conn net.Conn) error
+		// closedAfter is when the connection is closed, zero if it is open after a minute.
+		closedAfter time.Duration
+	}{
+		{"silent", func(net.Conn) error { return nil }, 10 * time.Second},
+		{"head that does not end", func(conn net.Conn) error { return write(conn, "GET / HTTP/1.1\r\n") }, 3 * time.Second},
+		{"body that does not end", func(conn net.Conn) error {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+			return write(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nx")
+		}, 10 * time.Second},
+		{"answer that is not read", func(conn net.Conn) error { return write(conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n") }, 10 * time.Second},
+		{"body that goes on", func(conn net.Conn) error {
+			err := write(conn, "POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+			for range 4 {
+				time.Sleep(9 * time.Second)
+				err = errors.Join(err, write(conn, "x"))
+			}
+			return err
+		}, 0},
+		{"answer that is read slowly", func(conn net.Conn) error {
+			err := write(conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+			for range 6 {
+				time.Sleep(9 * time.Second)
+				_, readErr := io.ReadFull(conn, make([]byte, writeChunkBytes))
+				err = errors.Join(err, readErr)
+			}
+			return err
+		}, 0},
+		{"request that takes long", func(conn net.Conn) error { return write(conn, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n") }, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := startTestServer(t, RegistryConfig{MaxConnections: 10, Limits: func() Limits { return limits }})
+				start := time.Now()
+				conn := s.connect()
+				go func() { c.Check(test.behave(conn), qt.IsNil) }()
+				synctest.Wait()
+				for s.registry.Counts().Open > 0 && time.Since(start) < 55*time.Second {
+					time.Sleep(100 * time.Millisecond)
+				}
+				if test.closedAfter > 0 {
+					c.Check(time.Since(start).Round(time.Second), qt.Equals, test.closedAfter)
+					c.Check(s.registry.Counts().Closed[Timeout], qt.Equals, int64(1))
+				} else {
+					c.Check(s.registry.Counts().Open, qt.Equals, 1)
+				}
+				c.Check(conn.Close(), qt.IsNil)
+				time.Sleep(time.Hour)
+			})
+		})
+	}
+}
+
 func write(conn net.Conn, text string) error {
 	_, err := io.WriteString(conn, text)
 	return err
--- a/pollen/pollenconn/registry.go
+++ b/pollen/pollenconn/registry.go
@@ -11,14 +11,22 @@
 	"pollenline.example/pollen/pollenmemory"
 )
 
-// Limits bounds what a client may send in a head. Values that are not above zero mean the defaults.
+// Limits bounds what a client may send in a head, and for how long it may take. Values that are not above zero mean the defaults.
 type Limits struct {
 	// HeaderBytes bounds the bytes of the fields of a request; its first line may be as long.
 	HeaderBytes int64
+	// HeaderTimeout is how long a client may take from the first byte of a head to its last.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a client may send nothing when a request or the rest of one is due, or read nothing of an answer.
+	IdleTimeout time.Duration
 }
 
-// defaultHeaderBytes holds if there is no other limit.
-const defaultHeaderBytes = http.DefaultMaxHeaderBytes
+// The limits that hold if there are no others.
+const (
+	defaultHeaderBytes   = http.DefaultMaxHeaderBytes
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+)
 
 // RegistryConfig holds the parameters of a Registry.
 type RegistryConfig struct {
@@ -55,10 +63,12 @@
 	HeadTooLarge Reason = "head too large"
 	// HeadMemory means that the heads of all requests took too much memory.
 	HeadMemory Reason = "memory of heads"
+	// Timeout means that the client took too long to send a request or to read an answer.
+	Timeout Reason = "timeout"
 )
 
 // Reasons returns all reasons.
-func Reasons() []Reason { return []Reason{Full, HeadTooLarge, HeadMemory} }
+func Reasons() []Reason { return []Reason{Full, HeadTooLarge, HeadMemory, Timeout} }
 
 // Counts holds what a Registry has counted.
 type Counts struct {
@@ -90,6 +100,12 @@
 	if limits.HeaderBytes <= 0 {
 		limits.HeaderBytes = defaultHeaderBytes
 	}
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultIdleTimeout
+	}
 	return limits
 }
 
@@ -138,7 +154,7 @@
 type connKey struct{}
 
 // Track makes a server report the phases of its connections to the registry, beside what it does already. The server must serve a
-// listener that Listen returned, and set deadlines while it waits for a request and for a head.
+// listener that Listen returned.
 func (r *Registry) Track(server *http.Server) {
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -153,8 +169,13 @@
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 	server.Handler = handler{server.Handler}
+	// The connections set the deadlines that hold; those of the server tell them when.
+	server.ReadHeaderTimeout, server.IdleTimeout = serverTimeout, serverTimeout
 	server.MaxHeaderBytes = serverHeaderBytes
 }
 
-// serverHeaderBytes is above what any connection lets through.
-const serverHeaderBytes = 1 << 30
+const (
+	serverTimeout = time.Hour
+	// serverHeaderBytes is above what any connection lets through.
+	serverHeaderBytes = 1 << 30
+)
--- a/pollenentry/pollenfront/clients.go
+++ b/pollenentry/pollenfront/clients.go
@@ -37,5 +37,6 @@
 	if configuration == nil {
 		return pollenconn.Limits{}
 	}
-	return pollenconn.Limits{HeaderBytes: configuration.Limits.MaxHeaderBytes}
+	limits := configuration.Limits
+	return pollenconn.Limits{HeaderBytes: limits.MaxHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
