Bound the kernel's buffers of clients' connections

Seen: of a connection that the process does not read, the kernel takes 167 KB at once, and lets its buffer grow to megabytes for a client whose bytes were read before; answers that are not read pile up in the same way. These bytes count as memory of the machine. Cause: the buffers' sizes were the system's.

--- a/pollen/pollenconn/listen.go
+++ b/pollen/pollenconn/listen.go
@@ -1,6 +1,7 @@
 package pollenconn
 
 import (
+	"context"
 	"net"
 	"time"
 )
@@ -13,7 +14,8 @@
 
 // Listen listens for TCP connections at an address.
 func (r *Registry) Listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: limitBuffers}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
