Bound the messages and connections of peers

Seen: 120 clients that send one message without end to an instance's address for other instances take 504 MB (96 MB allowed); 400 silent ones take all descriptors, so that callers get no answer. Cause: net/rpc's codec allocates what a message states as its length, up to 1 GB in steps of 10 MB, keeps all definitions of types, and handles any number of calls at once. Connections were not bounded, a watch waited for as long as its caller asked. Change: pollenrpc serves net/rpc with a codec of its own that reads the stated lengths before the decoder: at most 1 MB a message, 64 KB of definitions, 16 calls at a time on a connection, and a tenth of the memory for the messages of all open calls. The wire stays as it was. The peers' listener has a registry like the others; a connection without calls is closed first.

--- a/pollen/pollenconn/conn.go
+++ b/pollen/pollenconn/conn.go
@@ -114,7 +114,7 @@
 	c.awaited = false
 	c.lastBytes, c.lastLines = int64(len(data)), int64(bytes.Count(data, lineEnd))
 	switch {
-	case c.state.Phase == Serving:
+	case c.registry.config.Calls || c.state.Phase == Serving:
 		return nil
 	case c.state.Phase != Reading:
 		c.beginHead(limits, now)
@@ -244,6 +244,20 @@
 	return nil
 }
 
+// SetServing states whether calls are handled on a connection that carries calls.
+func (c *Conn) SetServing(serving bool) {
+	phase := Idle
+	if serving {
+		phase = Serving
+	}
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.state = State{Phase: phase, Since: time.Now()}
+}
+
+// CountClosed counts the connection as one that is closed for a reason.
+func (c *Conn) CountClosed(reason Reason) { c.registry.count(reason) }
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/pollen/pollenconn/registry.go
+++ b/pollen/pollenconn/registry.go
@@ -36,6 +36,8 @@
 	Heads *pollenmemory.Budget
 	// Limits returns the limits in force; if it is nil, the defaults hold.
 	Limits func() Limits
+	// Calls is set if the connections carry calls and not HTTP: heads are not counted, and SetServing states the phases.
+	Calls bool
 }
 
 // Registry knows the connections at a listener.
@@ -65,10 +67,12 @@
 	HeadMemory Reason = "memory of heads"
 	// Timeout means that the client took too long to send a request or to read an answer.
 	Timeout Reason = "timeout"
+	// Message means that the message of a call was too large, or that the messages of all calls took too much memory.
+	Message Reason = "message"
 )
 
 // Reasons returns all reasons.
-func Reasons() []Reason { return []Reason{Full, HeadTooLarge, HeadMemory, Timeout} }
+func Reasons() []Reason { return []Reason{Full, HeadTooLarge, HeadMemory, Timeout, Message} }
 
 // Counts holds what a Registry has counted.
 type Counts struct {
--- a/pollen/pollenrelay/server.go
+++ b/pollen/pollenrelay/server.go
@@ -12,9 +12,11 @@
 
 	"pollenline.example/pollen/pollenallowance"
 	"pollenline.example/pollen/pollencatalog"
+	"pollenline.example/pollen/pollenmemory"
 	"pollenline.example/pollen/pollenreplica"
 	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollenroster"
+	"pollenline.example/pollen/pollenrpc"
 	"pollenline.example/pollen/pollenstore"
 	"pollenline.example/pollen/pollensuspect"
 )
@@ -87,6 +89,8 @@
 	Allowances *pollenallowance.Allowances
 	// Refusals takes what other instances have refused; if it is nil, the instance takes no part in that.
 	Refusals RefusalReceiver
+	// Messages bounds the memory that the messages of calls take; if it is nil, only the size of each is bounded.
+	Messages *pollenmemory.Budget
 	// ReceiveRollout takes a report on a rollout; it is nil if the instance takes part in none.
 	ReceiveRollout func(report pollenrollout.Report, now time.Time) pollenrollout.Ruling
 }
@@ -157,7 +161,9 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go server.ServeConn(&meteredConn{Conn: conn})
+		go pollenrpc.Serve(server, &meteredConn{Conn: conn}, pollenrpc.Config{
+			MaxMessageBytes: maxMessageBytes, MaxCalls: maxCalls, DecodedFactor: decodedFactor, Messages: s.config.Messages, Connection: pollenrpc.CountedConnection(conn),
+		})
 	}
 }
 
@@ -172,6 +178,14 @@
 	methodRefusals  = serviceName + ".ShareRefusals"
 	// acceptRetryDelay keeps a failing listener from using the whole processor.
 	acceptRetryDelay = 50 * time.Millisecond
+	// maxMessageBytes bounds a message of a call, and maxCalls the calls of one connection that are handled at once: a follower makes one,
+	// or two when it lists.
+	maxMessageBytes = 1 << 20
+	maxCalls        = 16
+	// decodedFactor is the memory that a message takes at most, relative to its size.
+	decodedFactor = 24
+	// maxWatchWait bounds the wait of a watch, whatever its follower asks for.
+	maxWatchWait = 30 * time.Second
 )
 
 // stale reports whether the last call of the store failed or its answer is older than MaxStaleness.
@@ -275,7 +289,7 @@
 	if reply.Stale = s.server.stale() || after.LaterEra(s.server.replica.Position()); reply.Stale {
 		return nil
 	}
-	changes, err := s.server.replica.Watch(context.Background(), after, request.Wait)
+	changes, err := s.server.replica.Watch(context.Background(), after, min(request.Wait, maxWatchWait))
 	if pollenstore.HistoryGone(err) {
 		reply.Compacted = true
 		return nil
--- a/pollenentry/pollenfront/clients.go
+++ b/pollenentry/pollenfront/clients.go
@@ -8,6 +8,7 @@
 	listenerDirectory = "directory"
 	listenerReadiness = "readiness"
 	listenerMetrics   = "metrics"
+	listenerPeers     = "peers"
 )
 
 // httpListeners names the listeners of Frontend.httpServers.
@@ -15,7 +16,7 @@
 
 // clientShares holds the shares of the process's descriptors that the clients of each listener may take.
 var clientShares = map[string]float64{
-	listenerCallers: pollenconn.CallerShare, listenerDirectory: pollenconn.DirectoryShare,
+	listenerCallers: pollenconn.CallerShare, listenerDirectory: pollenconn.DirectoryShare, listenerPeers: pollenconn.PeerShare,
 	listenerReadiness: pollenconn.OperatorShare, listenerMetrics: pollenconn.OperatorShare,
 }
 
@@ -25,7 +26,7 @@
 	registries := make(pollenconn.Registries, len(clientShares))
 	for listener, share := range clientShares {
 		registries[listener] = pollenconn.NewRegistry(pollenconn.RegistryConfig{
-			MaxConnections: resources.MaxConnections(share), Heads: heads, Limits: f.clientLimits,
+			MaxConnections: resources.MaxConnections(share), Heads: heads, Limits: f.clientLimits, Calls: listener == listenerPeers,
 		})
 	}
 	return registries
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -35,6 +35,7 @@
 	"pollenline.example/pollen/pollenrelay"
 	"pollenline.example/pollen/pollenrollout"
 	"pollenline.example/pollen/pollenroster"
+	"pollenline.example/pollen/pollenrpc"
 	"pollenline.example/pollen/pollensettings"
 	"pollenline.example/pollen/pollensuspect"
 	"pollenline.example/pollen/pollenversion"
@@ -210,8 +211,10 @@
 		Address: settings.StoreAddress, Timeout: settings.StoreTimeout.Std(), KeepAlive: keepAliveConfig,
 		WatchSlack: scale(settings.ConfigurationDelay, watchSlackShare), TransferTimeout: scale(settings.ConfigurationDelay, transferShare),
 	})
+	resources := pollenconn.NewResources(settings.MemoryMegabytes, settings.MaxDescriptors)
 	relayConfig := pollenrelay.ServerConfig{
 		MaxStaleness: scale(settings.ConfigurationDelay, freshnessShare), Suspects: f.suspects, Allowances: f.allowances, Refusals: &refusalReceiver{f},
+		Messages: pollenrpc.NewBudget(resources),
 	}
 	if settings.RolloutShare > 0 {
 		f.newRollouts(settings, store)
@@ -269,7 +272,7 @@
 		newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
 	f.callerConns = newConnTracker(f.httpServers[0])
-	f.registries = f.newRegistries(pollenconn.NewResources(settings.MemoryMegabytes, settings.MaxDescriptors))
+	f.registries = f.newRegistries(resources)
 	for n, server := range f.httpServers {
 		f.registries[httpListeners[n]].Track(server)
 	}
@@ -324,7 +327,7 @@
 	defer cancel()
 	registrationCtx, cancelRegistration := context.WithCancel(backgroundCtx)
 	unregistered := make(chan struct{})
-	peerListener, err := net.Listen("tcp", f.self.PeerAddress.String())
+	peerListener, err := f.registries[listenerPeers].Listen(f.self.PeerAddress.String())
 	if err != nil {
 		cancelRegistration()
 		return &ListenError{Address: f.self.PeerAddress.String(), Err: err}
