Bound what clients of the product's own interface hold

What its HTTP servers report about such clients went to the log without a bound. Cause: as with front: MaxHeaderBytes was 1 MB and counts bytes, connections and open requests were not bounded, bodies of up to 4 MB were read for as many requests as came; and the process set itself no limit of memory, so that refused requests left garbage faster than it was collected. Change: its listeners have registries; heads are bounded by 16 KB in net/http, and those of open requests with HTTP/2 share the budget of heads. The requests that may be open with HTTP/2 are shared evenly by the connections, bodies take a tenth of the memory, calls of peers go through pollenrpc. MemoryMegabytes, which the documentation named already, is read now, 256 by default, and bounds the heap as in front.

--- a/pollen/pollenconn/conn.go
+++ b/pollen/pollenconn/conn.go
@@ -26,12 +26,18 @@
 	state State
 	// evicted is set once the connection is closed for another one.
 	evicted bool
+	// http2 is set if the client speaks HTTP/2, which bounds heads by itself. Until that is known, prefaceBytes is how much of its preface
+	// has come, or below zero if something else has.
+	http2        bool
+	prefaceBytes int
 	// inHead is set while what comes is the head of a request, as far as is known; headBytes counts it.
 	inHead    bool
 	headBytes int64
 	head      *pollenmemory.Reservation
 	// lastBytes and lastLines count what the last read returned, which may hold the begin of the next head.
 	lastBytes, lastLines int64
+	// incomplete and complete count the open requests of HTTP/2 that have not come completely, and those that have.
+	incomplete, complete int
 	// awaited is set once the server waits for the next request, until something has come.
 	awaited bool
 	// ended is set once the server has ended the reads of a connection that is not being served.
@@ -50,6 +56,23 @@
 	lineCost = 512
 )
 
+// http2Preface begins a connection with HTTP/2. A server takes what only begins like it for the head of a request.
+var http2Preface = []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+
+// isPreface reports whether all that has come, with data, begins with the preface of HTTP/2.
+func (c *Conn) isPreface(data []byte) bool {
+	if c.prefaceBytes < 0 {
+		return false
+	}
+	part := data[:min(len(data), len(http2Preface)-c.prefaceBytes)]
+	if !bytes.HasPrefix(http2Preface[c.prefaceBytes:], part) {
+		c.prefaceBytes = -1
+		return false
+	}
+	c.prefaceBytes += len(part)
+	return c.prefaceBytes == len(http2Preface)
+}
+
 // currentState returns the state that the choice depends on.
 func (c *Conn) currentState() State {
 	state := c.state
@@ -114,7 +137,13 @@
 	c.awaited = false
 	c.lastBytes, c.lastLines = int64(len(data)), int64(bytes.Count(data, lineEnd))
 	switch {
-	case c.registry.config.Calls || c.state.Phase == Serving:
+	case c.http2 || c.registry.config.Calls || c.state.Phase == Serving:
+		return nil
+	case c.registry.config.HTTP2 && c.isPreface(data):
+		c.http2, c.state = true, State{Phase: Reading, Since: now}
+		c.head.Release()
+		// It fails only if the connection is closed already.
+		_ = c.Conn.SetReadDeadline(time.Time{})
 		return nil
 	case c.state.Phase != Reading:
 		c.beginHead(limits, now)
@@ -224,7 +253,7 @@
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
 	switch {
-	case deadline.IsZero():
+	case c.http2, deadline.IsZero():
 		return c.Conn.SetReadDeadline(deadline)
 	case !deadline.After(now):
 		c.ended = c.state.Phase != Serving
@@ -288,6 +317,10 @@
 			c.readmit()
 		}
 	case http.StateIdle:
+		if c.http2 {
+			// Its requests state its phase.
+			return
+		}
 		c.head.Release()
 		c.state, c.awaited = State{Phase: Idle, Since: now}, false
 	case http.StateClosed, http.StateHijacked:
@@ -295,6 +328,57 @@
 	}
 }
 
+// beginRequest notes that a request of HTTP/2 is open, and reports false if the connection has its share of the requests already.
+//
+// Load pattern: a few clients open as many requests as there may be on each of their connections and end none. The requests that may be
+// open are shared evenly by the connections, so that a caller with few of them is served.
+func (c *Conn) beginRequest(now time.Time) bool {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	open := c.incomplete + c.complete
+	if most := c.registry.config.MaxRequests; most > 0 && open >= max(1, most/max(1, len(c.registry.conns))) {
+		return false
+	}
+	c.incomplete++
+	c.setRequestPhase(now)
+	return true
+}
+
+// completeRequest notes that an open request of HTTP/2 has come completely.
+func (c *Conn) completeRequest(now time.Time) {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.incomplete--
+	c.complete++
+	c.setRequestPhase(now)
+}
+
+// endRequest notes that an open request of HTTP/2 has ended.
+func (c *Conn) endRequest(complete bool, now time.Time) {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	if complete {
+		c.complete--
+	} else {
+		c.incomplete--
+	}
+	c.setRequestPhase(now)
+}
+
+// setRequestPhase sets the phase of a connection with HTTP/2 by its requests.
+func (c *Conn) setRequestPhase(now time.Time) {
+	phase := Idle
+	switch {
+	case c.complete > 0:
+		phase = Serving
+	case c.incomplete > 0:
+		phase = Reading
+	}
+	if phase != c.state.Phase {
+		c.state = State{Phase: phase, Since: now}
+	}
+}
+
 // readmit takes a connection back that was evicted while it was idle: its request came first.
 func (c *Conn) readmit() {
 	// It fails if the connection was closed, which ends its request as well.
--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -160,6 +160,34 @@
 	})
 }
 
+// Guards against heads that are not counted because they begin like HTTP/2, and against HTTP/2 that is taken for a head.
+func TestPrefaceOfHTTP2(t *testing.T) {
+	preface := string(http2Preface)
+	tests := []struct {
+		name  string
+		parts []string
+		http2 bool
+		want  bool
+	}{
+		{"whole", []string{preface}, true, true},
+		{"in parts", []string{preface[:1], preface[1:10], preface[10:] + "frames"}, true, true},
+		{"fields instead of its end", []string{"PRI * HTTP/2.0\r\n", "a:\r\n"}, true, false},
+		{"begins later", []string{"x", preface}, true, false},
+		{"not served", []string{preface}, false, false},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		registry := NewRegistry(RegistryConfig{MaxConnections: 1, HTTP2: test.http2, Heads: pollenmemory.New(pollenmemory.Config{})})
+		_, server := net.Pipe()
+		conn := registry.open(server, time.Now())
+		for _, part := range test.parts {
+			c.Assert(conn.count([]byte(part), time.Now()), qt.IsNil)
+		}
+		c.Check(conn.http2, qt.Equals, test.want, qt.Commentf("%s", test.name))
+		c.Check(registry.config.Heads.Used() > 0, qt.Equals, !test.want, qt.Commentf("%s", test.name))
+	}
+}
+
 // Guards against limits that hold only for connections that are opened after them.
 func TestLimitsFollowConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -309,3 +337,34 @@
 		c.Assert(registry.Counts().Open, qt.Equals, 1)
 	})
 }
+
+// Load pattern: clients with HTTP/2 open as many requests as they can and end none. A caller with one request is served.
+func TestOpenRequestsAreShared(t *testing.T) {
+	c := qt.New(t)
+	registry := NewRegistry(RegistryConfig{MaxConnections: 10, MaxRequests: 100, Heads: pollenmemory.New(pollenmemory.Config{})})
+	now := time.Unix(1000, 0)
+	open := func() *Conn {
+		_, server := net.Pipe()
+		conn := registry.open(server, now)
+		conn.http2 = true
+		return conn
+	}
+	admitted := 0
+	greedy := open()
+	for range 3 {
+		open()
+	}
+	for range 200 {
+		if greedy.beginRequest(now) {
+			admitted++
+		}
+	}
+	c.Check(admitted, qt.Equals, 25)
+	c.Check(greedy.currentState().Phase, qt.Equals, Reading)
+	ordinary := open()
+	c.Check(ordinary.beginRequest(now), qt.IsTrue)
+	ordinary.completeRequest(now)
+	c.Check(ordinary.currentState().Phase, qt.Equals, Serving)
+	ordinary.endRequest(true, now)
+	c.Check(ordinary.currentState().Phase, qt.Equals, Idle)
+}
--- a/pollen/pollenconn/registry.go
+++ b/pollen/pollenconn/registry.go
@@ -1,6 +1,7 @@
 package pollenconn
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -36,6 +37,12 @@
 	Heads *pollenmemory.Budget
 	// Limits returns the limits in force; if it is nil, the defaults hold.
 	Limits func() Limits
+	// Bodies bounds the memory that the bodies of requests take while they are handled; if it is nil, the server's handler bounds it.
+	Bodies *pollenmemory.Budget
+	// MaxRequests bounds the open requests on connections that carry many at a time; zero means no bound.
+	MaxRequests int
+	// HTTP2 is set if the server serves HTTP/2 as well.
+	HTTP2 bool
 	// Calls is set if the connections carry calls and not HTTP: heads are not counted, and SetServing states the phases.
 	Calls bool
 }
@@ -158,7 +165,7 @@
 type connKey struct{}
 
 // Track makes a server report the phases of its connections to the registry, beside what it does already. The server must serve a
-// listener that Listen returned.
+// listener that Listen returned. What it states of idle connections holds for HTTP/2 only.
 func (r *Registry) Track(server *http.Server) {
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -174,8 +181,9 @@
 	}
 	server.Handler = handler{server.Handler}
 	// The connections set the deadlines that hold; those of the server tell them when.
-	server.ReadHeaderTimeout, server.IdleTimeout = serverTimeout, serverTimeout
-	server.MaxHeaderBytes = serverHeaderBytes
+	server.ReadHeaderTimeout = serverTimeout
+	server.IdleTimeout = cmp.Or(server.IdleTimeout, serverTimeout)
+	server.MaxHeaderBytes = cmp.Or(server.MaxHeaderBytes, serverHeaderBytes)
 }
 
 const (
--- a/pollen/polleninstance/instance.go
+++ b/pollen/polleninstance/instance.go
@@ -17,6 +17,7 @@
 	"pollenline.example/pollen/pollenbackend"
 	"pollenline.example/pollen/pollencheck"
 	"pollenline.example/pollen/pollenconfig"
+	"pollenline.example/pollen/pollenconn"
 	"pollenline.example/pollen/pollencontrol"
 	"pollenline.example/pollen/pollenevent"
 	"pollenline.example/pollen/pollenhandler"
@@ -281,9 +282,9 @@
 	return instances
 }
 
-// listen listens on a TCP address and returns a *ListenError if that fails.
-func listen(address netip.AddrPort) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address.String())
+// listen listens on a TCP address for connections of a registry, and returns a *ListenError if that fails.
+func listen(registry *pollenconn.Registry, address netip.AddrPort) (net.Listener, error) {
+	listener, err := registry.Listen(address.String())
 	if err != nil {
 		return nil, &ListenError{Address: address, Err: err}
 	}
--- a/pollen/polleninstance/run.go
+++ b/pollen/polleninstance/run.go
@@ -6,16 +6,20 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"runtime/debug"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollenconn"
 	"pollenline.example/pollen/pollencontrol"
 	"pollenline.example/pollen/pollenhandler"
+	"pollenline.example/pollen/pollenlog"
 	"pollenline.example/pollen/pollenmessage"
 	"pollenline.example/pollen/pollenpeer"
+	"pollenline.example/pollen/pollenrpc"
 	"pollenline.example/pollen/pollenschema/pollenschemaconnect"
 	"pollenline.example/pollen/pollenstore"
 )
@@ -31,19 +35,31 @@
 	// maxMessageBytes bounds a message from a caller or operator.
 	maxMessageBytes = 4 << 20
 	// minCompressBytes excludes small responses, the majority, from compression.
-	minCompressBytes  = 64 << 10
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
+	minCompressBytes = 64 << 10
+	// maxHeaderBytes bounds the fields of a request; those of our callers take some hundred bytes.
+	maxHeaderBytes = 16 << 10
+	// readTimeout bounds how long a client may take to send a request, idleTimeout how long a connection is kept without one.
+	readTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
+	// maxStreams bounds the open requests of one connection with HTTP/2, receiveBufferBytes what is buffered of their bodies.
+	maxStreams         = 100
+	receiveBufferBytes = 64 << 10
 )
 
 // Run serves until stopRequested is done, then shuts down gracefully.
 func (i *Instance) Run(stopRequested context.Context) error {
-	listeners, err := i.listen()
+	callers, operators := i.callerServer(), i.operatorServer()
+	resources := pollenconn.NewResources(i.settings.MemoryMegabytes, 0)
+	debug.SetMemoryLimit(resources.MemoryShare(collectionMemoryShare))
+	registries := newRegistries(resources)
+	i.registry.MustRegister(registries.NewCollector())
+	registries[listenerCallers].Track(callers)
+	registries[listenerOperators].Track(operators)
+	listeners, err := i.listen(registries)
 	if err != nil {
 		return err
 	}
-	callers, operators := i.callerServer(), i.operatorServer()
-	peers := pollenpeer.NewServer(i.PeerHandler())
+	peers := pollenpeer.NewServer(pollenpeer.ServerConfig{Handler: i.PeerHandler(), Messages: pollenrpc.NewBudget(resources)})
 	serveErrors := make(chan error, 2)
 	go serve(callers, listeners.caller, serveErrors)
 	go serve(operators, listeners.operator, serveErrors)
@@ -51,6 +67,7 @@
 	tickCtx, stopTicks := context.WithCancel(context.Background())
 	defer stopTicks()
 	go i.Tick(tickCtx)
+	go logConnections(tickCtx, registries)
 	klog.InfoS("Serving", "callers", i.settings.CallerAddress, "operators", i.settings.OperatorAddress, "peers", i.settings.PeerAddress)
 
 	select {
@@ -118,16 +135,16 @@
 }
 
 // listen opens the listeners, all of them or none.
-func (i *Instance) listen() (*listeners, error) {
-	caller, err := listen(i.settings.CallerAddress)
+func (i *Instance) listen(registries pollenconn.Registries) (*listeners, error) {
+	caller, err := listen(registries[listenerCallers], i.settings.CallerAddress)
 	if err != nil {
 		return nil, err
 	}
-	operator, err := listen(i.settings.OperatorAddress)
+	operator, err := listen(registries[listenerOperators], i.settings.OperatorAddress)
 	if err != nil {
 		return nil, errors.Join(err, caller.Close())
 	}
-	peer, err := listen(i.settings.PeerAddress)
+	peer, err := listen(registries[listenerPeers], i.settings.PeerAddress)
 	if err != nil {
 		return nil, errors.Join(err, caller.Close(), operator.Close())
 	}
@@ -156,7 +173,12 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{
+		Handler: handler, Protocols: protocols, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: pollenlog.NewServerErrorLog(),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes,
+		},
+	}
 }
 
 // serve serves until the server is closed, and sends any other error.
--- a/pollen/polleninstance/settings.go
+++ b/pollen/polleninstance/settings.go
@@ -24,6 +24,8 @@
 	InventoryAddress netip.AddrPort
 	// SeedAddresses holds the peer addresses to contact if the store is down at startup.
 	SeedAddresses []netip.AddrPort
+	// MemoryMegabytes is the memory in MiB that the process may use, of which clients may take shares.
+	MemoryMegabytes int
 	// StoreTimeout bounds one call to the store.
 	StoreTimeout pollensettings.Duration
 	// RememberedRequests bounds the number of requests stored to detect duplicates.
@@ -40,6 +42,7 @@
 // DefaultSettings returns the default values of optional settings.
 func DefaultSettings() *Settings {
 	return &Settings{
+		MemoryMegabytes:    defaultMemoryMegabytes,
 		StoreTimeout:       pollensettings.Duration(defaultStoreTimeout),
 		RememberedRequests: defaultRememberedRequests,
 		HedgeShare:         pollenquery.DefaultPolicy().HedgeShare,
@@ -60,6 +63,9 @@
 	for n, address := range s.SeedAddresses {
 		checks = append(checks, pollensettings.RequireAddress(fmt.Sprintf("SeedAddresses[%d]", n), address))
 	}
+	if s.MemoryMegabytes < 1 {
+		checks = append(checks, &pollensettings.FieldError{Field: "MemoryMegabytes", Problem: fmt.Sprintf("%d: want at least 1", s.MemoryMegabytes)})
+	}
 	if s.RememberedRequests < 1 {
 		checks = append(checks, &pollensettings.FieldError{Field: "RememberedRequests", Problem: fmt.Sprintf("%d: want at least 1", s.RememberedRequests)})
 	}
--- a/pollen/pollenpeer/peer_test.go
+++ b/pollen/pollenpeer/peer_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	server := NewServer(handler)
+	server := NewServer(ServerConfig{Handler: handler})
 	go server.Serve(listener)
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -99,12 +99,12 @@
 func FuzzServer(f *testing.F) {
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	f.Add([]byte{0x3f, 0xff, 0x81, 0x03, 0x01, 0x01, 0x07})
-	server := NewServer(&fakeHandler{cancelled: make(chan string, 1)})
+	server := NewServer(ServerConfig{Handler: &fakeHandler{cancelled: make(chan string, 1)}})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		clientConn, serverConn := net.Pipe()
 		served := make(chan struct{})
 		go func() {
-			server.rpc.ServeConn(serverConn)
+			server.serveConn(serverConn)
 			close(served)
 		}()
 		_ = clientConn.SetDeadline(time.Now().Add(time.Second))
--- a/pollen/pollenpeer/server.go
+++ b/pollen/pollenpeer/server.go
@@ -9,7 +9,9 @@
 
 	"k8s.io/klog/v2"
 
+	"pollenline.example/pollen/pollenmemory"
 	"pollenline.example/pollen/pollenmessage"
+	"pollenline.example/pollen/pollenrpc"
 )
 
 // Handler handles the calls of other instances.
@@ -26,9 +28,18 @@
 	InForce(ctx context.Context, request InForceRequest) InForceReply
 }
 
+// ServerConfig holds the parameters of a Server.
+type ServerConfig struct {
+	// Handler handles the calls.
+	Handler Handler
+	// Messages bounds the memory that the messages of calls take.
+	Messages *pollenmemory.Budget
+}
+
 // Server serves the calls of other instances.
 type Server struct {
-	rpc *rpc.Server
+	config ServerConfig
+	rpc    *rpc.Server
 
 	mu sync.Mutex
 	// conns holds the open connections.
@@ -36,10 +47,10 @@
 	closed bool
 }
 
-// NewServer returns a server that passes calls to a handler.
-func NewServer(handler Handler) *Server {
-	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
-	service := &service{handler: handler, cancels: make(map[string]context.CancelFunc)}
+// NewServer returns a server that passes calls to the handler.
+func NewServer(config ServerConfig) *Server {
+	s := &Server{config: config, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+	service := &service{handler: config.Handler, cancels: make(map[string]context.CancelFunc)}
 	if err := s.rpc.RegisterName(serviceName, service); err != nil {
 		panic(err)
 	}
@@ -59,12 +70,19 @@
 			return
 		}
 		go func() {
-			s.rpc.ServeConn(conn)
+			s.serveConn(conn)
 			s.remove(conn)
 		}()
 	}
 }
 
+// serveConn serves the calls on a connection until it ends.
+func (s *Server) serveConn(conn net.Conn) {
+	pollenrpc.Serve(s.rpc, conn, pollenrpc.Config{
+		MaxMessageBytes: maxMessageBytes, MaxCalls: maxCalls, DecodedFactor: decodedFactor, Messages: s.config.Messages, Connection: pollenrpc.CountedConnection(conn),
+	})
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -77,6 +95,15 @@
 
 const serviceName = "Peer"
 
+const (
+	// maxMessageBytes bounds a message of a call: the largest hold a caller's request of at most 4 MB.
+	maxMessageBytes = 5 << 20
+	// maxCalls bounds the calls of one connection that are handled at once: sub-queries of all queries of an instance share one.
+	maxCalls = 4096
+	// decodedFactor is the memory that a message takes at most, relative to its size: most of it is requests and answers as bytes.
+	decodedFactor = 3
+)
+
 // watchMargin is added to the wait of a Watch request to bound its handler.
 const watchMargin = 200 * time.Millisecond
 
