--- a/pollen/pollenlog/server.go
+++ b/pollen/pollenlog/server.go
@@ -18,10 +18,14 @@
 // panicPrefix begins the reports of panics.
 const panicPrefix = "http: panic"
 
+// maxReportLines bounds the lines of a panic's report that are logged: it begins with the innermost calls.
+const maxReportLines = 40
+
 func (serverLog) Write(report []byte) (int, error) {
 	text := strings.TrimSpace(string(report))
 	if strings.HasPrefix(text, panicPrefix) {
-		klog.ErrorS(nil, "Request handler panicked", "report", text)
+		lines := strings.Split(text, "\n")
+		klog.ErrorS(nil, "Request handler panicked", "report", lines[:min(len(lines), maxReportLines)])
 	} else {
 		slog.Debug(text)
 	}
