--- a/pollenentry/pollencrowd/process_test.go
+++ b/pollenentry/pollencrowd/process_test.go
@@ -128,11 +128,16 @@
 			return
 		case <-time.After(watchInterval):
 		}
-		resident := p.statusBytes("VmHWM")
-		p.peak = max(p.peak, resident+p.queuedBytes())
-		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)); err == nil {
-			p.descriptors = max(p.descriptors, len(entries))
-		}
+		p.sample()
+	}
+}
+
+// sample reads the memory and the descriptors of the process once.
+func (p *process) sample() {
+	resident := p.statusBytes("VmHWM")
+	p.peak = max(p.peak, resident+p.queuedBytes())
+	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)); err == nil {
+		p.descriptors = max(p.descriptors, len(entries))
 	}
 }
 
@@ -177,10 +182,11 @@
 	return total
 }
 
-// checkLimits ends the watch, and checks that the process lives and has stayed within its memory and descriptors.
+// checkLimits reads the memory a last time and ends the watch, and checks that the process lives and has stayed within its memory and descriptors.
 func (p *process) checkLimits(c *qt.C, maxBytes int64, maxDescriptors int) {
 	close(p.stopWatch)
 	<-p.watched
+	p.sample()
 	select {
 	case err := <-p.ended:
 		c.Errorf("the process has ended: %v", err)
