--- a/pollen/pollenbackend/answer_test.go
+++ b/pollen/pollenbackend/answer_test.go
@@ -1,8 +1,10 @@
 package pollenbackend_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,6 +81,30 @@
 	}
 }
 
+// TestSendTakesNoOddStatus guards against taking an answer whose status no final answer has, above all as a promise that the request has
+// not run.
+func TestSendTakesNoOddStatus(t *testing.T) {
+	refusal := answer(func(a *pollenbackend.Answer) { a.NotRun, a.Refusal = true, pollenbackend.RefusalShed })
+	for _, status := range []string{"000", "042", "199", "600"} {
+		c := qt.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(refusal), refusal)
+			}
+		}()
+		_, err = client(listener.Addr().String()).Send(context.Background(), request())
+		c.Check(err, qt.IsNotNil, qt.Commentf("status %s", status))
+		c.Check(listener.Close(), qt.IsNil)
+	}
+}
+
 // TestSendDoesNotRetry guards against net/http replaying a request when a reused connection breaks before the answer.
 func TestSendDoesNotRetry(t *testing.T) {
 	c := qt.New(t)
--- a/pollen/pollenbackend/client.go
+++ b/pollen/pollenbackend/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"pollenline.example/pollen/pollenhttp"
 	"pollenline.example/pollen/pollenmessage"
 	"pollenline.example/pollen/pollenroute"
 )
@@ -68,6 +69,9 @@
 		return nil, &LostError{Err: err}
 	}
 	defer response.Body.Close()
+	if !pollenhttp.IsFinalStatus(response.StatusCode) {
+		return nil, &GarbledError{Problem: fmt.Sprintf("HTTP status %d", response.StatusCode)}
+	}
 	return readAnswer(request, response)
 }
 
