--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,14 +193,15 @@
 func TestLimitsFollowConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		limits := Limits{HeaderBytes: 16000, IdleTimeout: time.Minute}
-		s := startTestServer(t, RegistryConfig{MaxConnections: 10, Limits: func() Limits { return limits }})
+		var limits atomic.Pointer[Limits]
+		limits.Store(&Limits{HeaderBytes: 16000, IdleTimeout: time.Minute})
+		s := startTestServer(t, RegistryConfig{MaxConnections: 10, Limits: func() Limits { return *limits.Load() }})
 		conn := s.connect()
 		text := "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 12000) + "\r\n\r\n"
 		status, err := send(conn, text)
 		c.Assert(err, qt.IsNil)
 		c.Assert(status, qt.Equals, http.StatusOK)
-		limits = Limits{HeaderBytes: 1000, IdleTimeout: 5 * time.Second}
+		limits.Store(&Limits{HeaderBytes: 1000, IdleTimeout: 5 * time.Second})
 		status, err = send(conn, text)
 		c.Assert(err, qt.IsNil)
 		c.Assert(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
