--- a/pollenbench/pollensoak/fault.go
+++ b/pollenbench/pollensoak/fault.go
@@ -59,6 +59,7 @@
 	{"server-leaving", "a server says in its answers that it leaves while the store lists it as ready, and ends later", injectLeaving},
 	{"servers-refuse", "some servers refuse all requests for a time that they state", injectRefusals},
 	{"refusals-repeated", "some servers shed half of their requests, and send some refusals again in front of the next answer", serverFault(0.5, pollenfakeplatform.ServerFaults{ShedShare: 0.5, RepeatedRefusalShare: 0.2})},
+	{"crowd", "clients that keep to no limits take all connections of an instance's callers", injectCrowd},
 }
 
 func (c *cluster) randomInstance(random *rand.Rand) *entryInstance {
