--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -182,7 +182,7 @@
 		_, server := net.Pipe()
 		conn := registry.open(server, time.Now())
 		for _, part := range test.parts {
-			c.Assert(conn.count([]byte(part), time.Now()), qt.IsNil)
+			c.Assert(conn.countRead([]byte(part), time.Now()), qt.IsNil)
 		}
 		c.Check(conn.http2, qt.Equals, test.want, qt.Commentf("%s", test.name))
 		c.Check(registry.config.Heads.Used() > 0, qt.Equals, !test.want, qt.Commentf("%s", test.name))
