--- a/pollen/pollenconn/head.go
+++ b/pollen/pollenconn/head.go
@@ -117,4 +117,3 @@
 	// It ends when the client has closed its side, at the deadline, or with an error that ends the connection as well.
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
-
--- a/pollen/pollenconn/http2.go
+++ b/pollen/pollenconn/http2.go
@@ -72,4 +72,3 @@
 		c.state = State{Phase: phase, Since: now}
 	}
 }
-
