Release the memory of a body when its request has ended

Cause: closing an account releases what is kept in it; a body that is only counted while it is handled is a reservation of its own.

--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// Guards against memory that stays counted after a request, and against bodies beyond the budget.
+func TestBodiesAreCountedWhileTheyAreHandled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		bodies := pollenmemory.New(pollenmemory.Config{LimitBytes: 100_000, SmallBytes: 1000})
+		s := startTestServer(t, RegistryConfig{MaxConnections: 10, Bodies: bodies})
+		post := func(length int) int {
+			status, err := send(s.connect(), fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length)))
+			c.Assert(err, qt.IsNil)
+			synctest.Wait()
+			return status
+		}
+		for range 10 {
+			c.Check(post(100_000/bufferFactor-1), qt.Equals, http.StatusOK)
+			c.Check(bodies.Used(), qt.Equals, int64(0))
+		}
+		c.Check(post(100_000), qt.Equals, http.StatusBadRequest)
+		c.Check(bodies.Used(), qt.Equals, int64(0))
+	})
+}
+
 // Guards against heads that are not counted because they came together with the request before.
 func TestPipelinedHeadsAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pollen/pollenconn/handler.go
+++ b/pollen/pollenconn/handler.go
@@ -27,9 +27,8 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	account := conn.registry.newBodyAccount()
-	defer account.Close()
-	b := &body{ReadCloser: r.Body, conn: conn, memory: account.NewReservation()}
+	b := &body{ReadCloser: r.Body, conn: conn, memory: conn.registry.newBodyAccount().NewReservation()}
+	defer b.memory.Release()
 	if conn.http2 {
 		h.serveHTTP2(w, r, b)
 		return
