--- a/pollen/pollenconn/handler.go
+++ b/pollen/pollenconn/handler.go
@@ -27,7 +27,7 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	b := &body{ReadCloser: r.Body, conn: conn, memory: conn.registry.newBodyAccount().NewReservation()}
+	b := &body{ReadCloser: r.Body, conn: conn, memory: conn.registry.newBodyReservation()}
 	defer b.memory.Release()
 	if conn.http2 {
 		h.serveHTTP2(w, r, b)
@@ -98,12 +98,13 @@
 // requestRetryAfter is when a client may repeat a request that is refused because others are open.
 const requestRetryAfter = time.Second
 
-// newBodyAccount returns an account of the bodies of one request, nil if the handler bounds them.
-func (r *Registry) newBodyAccount() *pollenmemory.Account {
-	if r.config.Bodies == nil {
-		return nil
+// newBodyReservation returns a reservation for the body of a request, without a limit if the server's handler bounds bodies.
+func (r *Registry) newBodyReservation() *pollenmemory.Reservation {
+	var account *pollenmemory.Account
+	if r.config.Bodies != nil {
+		account = r.config.Bodies.NewAccount()
 	}
-	return r.config.Bodies.NewAccount()
+	return account.NewReservation()
 }
 
 // body is the body of a request, each part of which must come within the idle timeout.
--- a/pollenentry/pollencrowd/crowd_test.go
+++ b/pollenentry/pollencrowd/crowd_test.go
@@ -42,15 +42,28 @@
 	c.Errorf("ordinary request %s: %v", what, errors.Join(failures...))
 }
 
+// crowdTest is a crowd of one kind at one listener of a process.
+type crowdTest struct {
+	name    string
+	port    uint16
+	clients int
+	behave  client
+}
+
+// run checks that a process answers an ordinary request while the crowd holds its connections and after it has left, lives, and has stayed
+// within its limits.
+func (t *crowdTest) run(c *qt.C, p *process, memoryMegabytes int64, request func() error) {
+	w := gather(p.listener(t.port), t.clients, t.behave)
+	checkServed(c, "beside the crowd", request)
+	w.disperse()
+	checkServed(c, "after the crowd", request)
+	p.checkLimits(c, memoryMegabytes<<20, maxDescriptors)
+}
+
 // Load pattern: clients send heads, lines, fields or bodies without end, or hold what they have opened. The process must live, stay within
 // its memory and descriptors, and answer an ordinary caller while the crowd holds its connections and after it has left.
 func TestFrontSurvivesCrowd(t *testing.T) {
-	tests := []struct {
-		name    string
-		port    uint16
-		clients int
-		behave  client
-	}{
+	tests := []crowdTest{
 		{"short fields without end", callerPort, crowdClients, endlessShortFields},
 		{"equal fields without end", callerPort, crowdClients, endlessEqualFields},
 		{"fields without end that begin like HTTP 2", callerPort, crowdClients, endlessFieldsOfHTTP2},
@@ -84,11 +97,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			p := startFront(t, c, frontMemoryMegabytes, maxDescriptors)
-			w := gather(p.listener(test.port), test.clients, test.behave)
-			checkServed(c, "beside the crowd", func() error { return requestOnce(t, p) })
-			w.disperse()
-			checkServed(c, "after the crowd", func() error { return requestOnce(t, p) })
-			p.checkLimits(c, frontMemoryMegabytes<<20, maxDescriptors)
+			test.run(c, p, frontMemoryMegabytes, func() error { return requestOnce(t, p) })
 			p.stop(c)
 		})
 	}
@@ -96,12 +105,7 @@
 
 // Load pattern: as above, at the listeners of the product's own interface.
 func TestServeSurvivesCrowd(t *testing.T) {
-	tests := []struct {
-		name    string
-		port    uint16
-		clients int
-		behave  client
-	}{
+	tests := []crowdTest{
 		{"short fields without end", callerPort, crowdClients, endlessShortFields},
 		{"fields without end that begin like HTTP 2", callerPort, crowdClients, endlessFieldsOfHTTP2},
 		{"open head", callerPort, crowdClients, openHead},
@@ -119,11 +123,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			p := startServe(t, c, maxDescriptors)
-			w := gather(p.listener(test.port), test.clients, test.behave)
-			checkServed(c, "beside the crowd", func() error { return locate(p) })
-			w.disperse()
-			checkServed(c, "after the crowd", func() error { return locate(p) })
-			p.checkLimits(c, serveMemoryMegabytes<<20, maxDescriptors)
+			test.run(c, p, serveMemoryMegabytes, func() error { return locate(p) })
 		})
 	}
 }
