--- a/pollenentry/pollenfront/clients.go
+++ b/pollenentry/pollenfront/clients.go
@@ -20,6 +20,15 @@
 	listenerReadiness: pollenconn.OperatorShare, listenerMetrics: pollenconn.OperatorShare,
 }
 
+// limitClients bounds what the clients of all listeners can hold.
+func (f *Frontend) limitClients(resources pollenconn.Resources) {
+	f.registries = f.newRegistries(resources)
+	for n, server := range f.httpServers {
+		f.registries[httpListeners[n]].Track(server)
+	}
+	f.metrics.registry.MustRegister(f.registries.NewCollector())
+}
+
 // newRegistries returns the registries of the clients' connections by listener.
 func (f *Frontend) newRegistries(resources pollenconn.Resources) pollenconn.Registries {
 	heads := resources.HeadBudget()
--- a/pollenentry/pollenfront/frontend.go
+++ b/pollenentry/pollenfront/frontend.go
@@ -272,11 +272,7 @@
 		newHTTPServer(settings.MetricsAddress, f.newOperatorHandler()),
 	}
 	f.callerConns = newConnTracker(f.httpServers[0])
-	f.registries = f.newRegistries(resources)
-	for n, server := range f.httpServers {
-		f.registries[httpListeners[n]].Track(server)
-	}
-	f.metrics.registry.MustRegister(f.registries.NewCollector())
+	f.limitClients(resources)
 	return f, nil
 }
 
