Retire busy connections at a full listener

Cause: a request that is handled is never ended for another, and there was no other way to make room. Change: connections are closed for new ones when an eighth of the number is left. If none can be, the new one is taken into that eighth, and the connection with the most answers is closed after its answer. A connection that was evicted while idle and whose next request came first is taken back only while there is room.

--- a/pollen/pollenconn/choose.go
+++ b/pollen/pollenconn/choose.go
@@ -24,6 +24,10 @@
 	Since time.Time
 	// BlockedSince is when the write began that its client has not read; zero if nothing is being written.
 	BlockedSince time.Time
+	// Answers is the number of requests that were answered on the connection.
+	Answers int
+	// Retiring is set once the connection is to be closed after its answer.
+	Retiring bool
 }
 
 const (
@@ -75,3 +79,17 @@
 	}
 	return incomplete, s.Since
 }
+
+// chooseRetiring returns the index of the connection that is closed once its request is answered, or none.
+//
+// Load pattern: each client of a crowd has a request in hand all the time, so that choose finds nothing to close. The connection with the most
+// answers goes: ordinary callers lose nothing by connecting again, and a crowd can't hold all connections for long.
+func chooseRetiring(states []State) int {
+	chosen := none
+	for i, s := range states {
+		if s.Phase == Serving && !s.Retiring && (chosen == none || s.Answers > states[chosen].Answers) {
+			chosen = i
+		}
+	}
+	return chosen
+}
--- a/pollen/pollenconn/choose_test.go
+++ b/pollen/pollenconn/choose_test.go
@@ -38,3 +38,24 @@
 		qt.Check(t, choose(test.states, now), qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
 }
+
+// Guards against a crowd that holds all connections by sending one request after the other.
+func TestChooseRetiring(t *testing.T) {
+	serving := func(answers int, retiring bool) State {
+		return State{Phase: Serving, Answers: answers, Retiring: retiring}
+	}
+	tests := []struct {
+		name   string
+		states []State
+		want   int
+	}{
+		{"none is open", nil, none},
+		{"none is served", []State{{Phase: Idle, Answers: 9}, {Phase: Reading}}, none},
+		{"most answers", []State{serving(1, false), serving(7, false), serving(3, false)}, 1},
+		{"most answers that is not retiring", []State{serving(1, false), serving(7, true), serving(3, false)}, 2},
+		{"all are retiring", []State{serving(1, true), serving(7, true)}, none},
+	}
+	for _, test := range tests {
+		qt.Check(t, chooseRetiring(test.states), qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
--- a/pollen/pollenconn/conn.go
+++ b/pollen/pollenconn/conn.go
@@ -151,7 +151,7 @@
 	}
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
-	c.state = State{Phase: phase, Since: time.Now()}
+	c.enter(phase, time.Now())
 }
 
 // CountClosed counts the connection as one that is closed for a reason.
@@ -181,7 +181,7 @@
 		c.inHead, c.ended = false, false
 		if c.state.Phase == Idle {
 			// The whole head came with the last request.
-			c.state = State{Phase: Reading, Since: now}
+			c.enter(Reading, now)
 		}
 		if c.evicted && c.state.Phase != Waiting {
 			c.readmit()
@@ -192,16 +192,42 @@
 			return
 		}
 		c.head.Release()
-		c.state, c.awaited = State{Phase: Idle, Since: now}, false
+		c.awaited = false
+		c.enter(Idle, now)
 	case http.StateClosed, http.StateHijacked:
 		c.forget()
 	}
 }
 
-// readmit takes a connection back that was evicted while it was idle: its request came first.
+// enter notes that the connection has come to a phase. One that retires is closed once it is idle.
+func (c *Conn) enter(phase Phase, now time.Time) {
+	if phase == Idle {
+		c.state.Answers++
+	}
+	c.state.Phase, c.state.Since = phase, now
+	if phase == Idle && c.state.Retiring && !c.evicted {
+		c.evict()
+	}
+}
+
+// evict closes the connection for another one; its registry must be locked.
+func (c *Conn) evict() {
+	delete(c.registry.conns, c)
+	c.evicted = true
+	if c.state.Phase == Idle {
+		// A request that has come meanwhile is read and served; otherwise the server closes the connection.
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
+		return
+	}
+	// Nothing has run of a request that has not come completely, and an answer that is not read can't be delivered.
+	_ = c.Conn.Close()
+}
+
+// readmit takes a connection back that was evicted while it was idle, as its request came first, if there is room for it. Otherwise its
+// request is not handled.
 func (c *Conn) readmit() {
 	// It fails if the connection was closed, which ends its request as well.
-	if c.Conn.SetReadDeadline(time.Time{}) == nil {
+	if len(c.registry.conns) < c.registry.config.MaxConnections && c.Conn.SetReadDeadline(time.Time{}) == nil {
 		c.evicted = false
 		c.registry.conns[c] = struct{}{}
 	}
@@ -211,6 +237,6 @@
 func (c *Conn) beginServing(now time.Time) bool {
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
-	c.state = State{Phase: Serving, Since: now}
+	c.enter(Serving, now)
 	return !c.evicted
 }
--- a/pollen/pollenconn/conn_test.go
+++ b/pollen/pollenconn/conn_test.go
@@ -331,6 +331,41 @@
 	})
 }
 
+// Load pattern: clients have a request in hand on all connections, one after the other. A caller is served, and connections are closed after
+// their answers, so that there is room again; there are never more than the maximum.
+func TestBusyConnectionsGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const most = 16
+		s := startTestServer(t, RegistryConfig{MaxConnections: most})
+		for range most - most/spareShare {
+			conn := s.connect()
+			go func() {
+				for conn != nil {
+					if _, err := send(conn, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						conn = nil
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		for n := range 2 * most {
+			conn := s.connect()
+			status, err := send(conn, get)
+			if n < most/spareShare {
+				c.Check(err, qt.IsNil)
+				c.Check(status, qt.Equals, http.StatusOK)
+			}
+			c.Check(conn.Close(), qt.IsNil)
+			c.Check(s.registry.Counts().Open <= most, qt.IsTrue)
+		}
+		before := s.registry.Counts().Open
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		c.Check(s.registry.Counts().Open < before, qt.IsTrue, qt.Commentf("%d, %d before", s.registry.Counts().Open, before))
+	})
+}
+
 // Guards against a request that has come on an idle connection and is lost because the connection was chosen to be closed meanwhile.
 func TestRequestOnEvictedConnectionIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pollen/pollenconn/head.go
+++ b/pollen/pollenconn/head.go
@@ -46,7 +46,8 @@
 	case c.http2 || c.registry.config.Calls || c.state.Phase == Serving:
 		return nil
 	case c.registry.config.HTTP2 && c.isPreface(data):
-		c.http2, c.state = true, State{Phase: Reading, Since: now}
+		c.http2 = true
+		c.enter(Reading, now)
 		c.head.Release()
 		// It fails only if the connection is closed already.
 		_ = c.Conn.SetReadDeadline(time.Time{})
@@ -63,7 +64,8 @@
 
 // beginHead notes that the head of a request has begun to come.
 func (c *Conn) beginHead(limits Limits, now time.Time) {
-	c.state, c.inHead, c.headBytes = State{Phase: Reading, Since: now}, true, 0
+	c.enter(Reading, now)
+	c.inHead, c.headBytes = true, 0
 	if !c.evicted {
 		// It fails only if the connection is closed already.
 		_ = c.Conn.SetReadDeadline(now.Add(limits.HeaderTimeout))
--- a/pollen/pollenconn/http2.go
+++ b/pollen/pollenconn/http2.go
@@ -69,6 +69,6 @@
 		phase = Reading
 	}
 	if phase != c.state.Phase {
-		c.state = State{Phase: phase, Since: now}
+		c.enter(phase, now)
 	}
 }
--- a/pollen/pollenconn/registry.go
+++ b/pollen/pollenconn/registry.go
@@ -31,7 +31,7 @@
 
 // RegistryConfig holds the parameters of a Registry.
 type RegistryConfig struct {
-	// MaxConnections bounds the connections that are open at once.
+	// MaxConnections bounds the connections that are open at once. Some are closed for new ones when an eighth of it is left.
 	MaxConnections int
 	// Heads bounds the memory that the heads of all requests take, until their answers are written.
 	Heads *pollenmemory.Budget
@@ -120,13 +120,17 @@
 	return limits
 }
 
-// open registers a new connection and closes another one for it if there are too many. It returns nil if none can be closed.
+// spareShare is the part of the connections, one in so many, that is left for new ones while others are closed once their requests are
+// answered.
+const spareShare = 8
+
+// open registers a new connection and closes another one for it, or retires one, if there are too many. It returns nil if there is none.
 func (r *Registry) open(conn net.Conn, now time.Time) *Conn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.conns) >= r.config.MaxConnections {
+	if most := r.config.MaxConnections; len(r.conns) >= most-most/spareShare {
 		r.closed[Full]++
-		if !r.closeOne(now) {
+		if !r.closeOne(now) && !r.retireOne() {
 			return nil
 		}
 	}
@@ -137,27 +141,39 @@
 
 // closeOne closes the connection that choose returns, and reports whether there is one. The registry must be locked.
 func (r *Registry) closeOne(now time.Time) bool {
-	conns, states := make([]*Conn, 0, len(r.conns)), make([]State, 0, len(r.conns))
-	for c := range r.conns {
-		conns, states = append(conns, c), append(states, c.currentState())
-	}
+	conns, states := r.states()
 	n := choose(states, now)
 	if n == none {
 		return false
 	}
-	c := conns[n]
-	delete(r.conns, c)
-	c.evicted = true
-	if c.state.Phase == Idle {
-		// A request that has come meanwhile is read and served; otherwise the server closes the connection.
-		_ = c.Conn.SetReadDeadline(expiredDeadline)
-		return true
+	conns[n].evict()
+	return true
+}
+
+// retireOne retires the connection that chooseRetiring returns, and reports whether there is one and room for another connection. The
+// registry must be locked.
+func (r *Registry) retireOne() bool {
+	if len(r.conns) >= r.config.MaxConnections {
+		return false
+	}
+	conns, states := r.states()
+	n := chooseRetiring(states)
+	if n == none {
+		return false
 	}
-	// Nothing has run of a request that has not come completely, and an answer that is not read can't be delivered.
-	_ = c.Conn.Close()
+	conns[n].state.Retiring = true
 	return true
 }
 
+// states returns the open connections and their states.
+func (r *Registry) states() ([]*Conn, []State) {
+	conns, states := make([]*Conn, 0, len(r.conns)), make([]State, 0, len(r.conns))
+	for c := range r.conns {
+		conns, states = append(conns, c), append(states, c.currentState())
+	}
+	return conns, states
+}
+
 // expiredDeadline is a deadline in the past.
 var expiredDeadline = time.Unix(1, 0)
 
